--- /dev/null
+++ b/src/bin/pier_gate.rs
@@ -0,0 +1,74 @@
+//! One entry host on the users' platform.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use tanagerpier::gateway::run::{self, Options};
+use tanagerpier::platform::node;
+
+/// Port of the metrics address, outside the ports that the platform assigns
+const METRICS_PORT: &str = "9464";
+
+fn command() -> Command {
+    Command::new("pier-gate")
+        .version(clap::crate_version!())
+        .about("One entry host on the users' platform: directory, requests and steering")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .help("Settings file that the platform writes")
+                .env(node::VARIABLE)
+                .default_value(node::DEFAULT_PATH)
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("metrics")
+                .long("metrics-port")
+                .value_name("PORT")
+                .help("Port for metrics and status on the host's address")
+                .default_value(METRICS_PORT)
+                .value_parser(value_parser!(u16)),
+        )
+        .arg(
+            Arg::new("log")
+                .long("log")
+                .value_name("LEVEL")
+                .help("Log level, such as info or debug")
+                .default_value("info"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .help("Check the settings and exit")
+                .action(ArgAction::SetTrue),
+        )
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let (Some(settings), Some(metrics), Some(log)) = (
+        matches.get_one::<PathBuf>("settings"),
+        matches.get_one::<u16>("metrics"),
+        matches.get_one::<String>("log"),
+    ) else {
+        return ExitCode::FAILURE;
+    };
+    let options = Options {
+        settings: settings.clone(),
+        metrics: *metrics,
+        log: log.clone(),
+    };
+    let result = match matches.get_flag("check") {
+        true => run::check(&options),
+        false => run::run(&options),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("pier-gate: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
--- a/src/config/code.rs
+++ b/src/config/code.rs
@@ -6,7 +6,7 @@
 use super::Revision;
 
 /// Longest encoded revision, in bytes
-pub const MAX_BYTES: usize = crate::platform::MAX_VALUE;
+pub const MAX_BYTES: usize = crate::object::MAX_VALUE;
 
 /// Why a revision or a patch cannot be read or written
 #[derive(Debug, Display)]
--- a/src/ctl/mod.rs
+++ b/src/ctl/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::config::{self, Revision};
 use crate::error::Error;
-use crate::platform::Client;
+use crate::object::Client;
 
 mod apply;
 pub mod cli;
--- a/src/ctl/past.rs
+++ b/src/ctl/past.rs
@@ -7,7 +7,7 @@
 use crate::config::{self, Audit, Document, Revision};
 use crate::error::Error;
 use crate::id::Version;
-use crate::platform::Client;
+use crate::object::Client;
 
 /// Audit entry of a number, from the revision or its history object
 pub async fn entry(client: &Client, present: &Revision, number: Version) -> Result<Audit, Error> {
--- a/src/ctl/submit.rs
+++ b/src/ctl/submit.rs
@@ -8,7 +8,7 @@
 use crate::config::{self, Accepted, Audit, Patch, Refusal, Revision};
 use crate::error::Error;
 use crate::id::Version;
-use crate::platform::{self, Backoff, Client};
+use crate::object::{self, Backoff, Client};
 use crate::util;
 
 /// Time after which an unsettled patch is given up
@@ -140,8 +140,8 @@
         .map_err(|error| Failure::Final(Error::Usage(error.to_string())))?;
     match client.write(config::OBJECT, bytes, version).await {
         Ok(_) => Ok(receipt(revision.number, false)),
-        Err(error @ platform::Error::Refused(..)) => Err(Failure::Final(unavailable(error))),
-        Err(error @ platform::Error::Unreached(_)) => Err(Failure::Again(error.to_string())),
+        Err(error @ object::Error::Refused(..)) => Err(Failure::Final(unavailable(error))),
+        Err(error @ object::Error::Unreached(_)) => Err(Failure::Again(error.to_string())),
         Err(error) => {
             *sent = true;
             Err(Failure::Again(error.to_string()))
@@ -154,8 +154,8 @@
     let name = format!("{}{}", config::HISTORY, entry.number);
     let bytes = serde_json::to_vec(entry).map_err(|error| Failure::Final(unavailable(error)))?;
     match client.write(&name, bytes, None).await {
-        Ok(_) | Err(platform::Error::Conflict(_)) => Ok(()),
-        Err(error @ platform::Error::Refused(..)) => Err(Failure::Final(unavailable(error))),
+        Ok(_) | Err(object::Error::Conflict(_)) => Ok(()),
+        Err(error @ object::Error::Refused(..)) => Err(Failure::Final(unavailable(error))),
         Err(error) => Err(Failure::Again(error.to_string())),
     }
 }
--- a/src/ctl/tests/fake.rs
+++ b/src/ctl/tests/fake.rs
@@ -9,7 +9,7 @@
 use crate::config::{self, Patch, Revision};
 use crate::http;
 use crate::id::Version;
-use crate::platform::Client;
+use crate::object::Client;
 use crate::standin::platform::Platform;
 
 /// Stand-in platform on a free port
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,7 +18,7 @@
 use crate::once::{Table, Ticket};
 use crate::operator::Metrics;
 use crate::peer::Link;
-use crate::platform;
+use crate::object;
 use crate::quarantine;
 use crate::retry::Budget;
 use crate::route::Router;
@@ -74,7 +74,7 @@
     /// Kept connections to upstreams
     pub upstreams: upstream::Client,
     /// Client of the platform
-    pub platform: platform::Client,
+    pub platform: object::Client,
     /// Other entry hosts as this one knows them
     pub view: Arc<Mutex<View>>,
     /// Tickets of this incarnation
@@ -137,7 +137,7 @@
             incarnation,
             link: Mutex::new(None),
             upstreams,
-            platform: platform::Client::new(settings.platform.clone()),
+            platform: object::Client::new(settings.platform.clone()),
             view: Arc::new(Mutex::new(view)),
             table: Mutex::new(Table::new(settings.host.clone(), incarnation)),
             place: Mutex::default(),
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -7,7 +7,7 @@
 
 use crate::config::{OBJECT, Revision};
 use crate::entry::{Host, lock};
-use crate::platform::Backoff;
+use crate::object::Backoff;
 
 /// Longest wait of one watch
 pub const WAIT: Duration = Duration::from_secs(20);
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,249 @@
+//! Which entry hosts run, and what they tell each other about load.
+//!
+//! Every host keeps one entry in the platform's store. Liveness is not a matter of the store: each
+//! host pings [`WATCHED`] successors on a ring of names, and withdraws the entry of one that stays
+//! silent. So a host's cost stays the same as the fleet grows, and the store sees writes only when
+//! hosts come and go.
+//!
+//! Datagrams also carry load: to hosts of the same region what runs where, to all others the demand
+//! of the region. Nothing in them decides more than placement, so they are not authenticated beyond
+//! a check that the sender's address belongs to a listed host.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+use crate::id::{HostId, Incarnation, RegionId, ServiceId, ZoneId};
+use crate::util::stable_hash;
+
+
+/// Successors on the ring that a host watches; enough that neighbours rarely fail together
+pub const WATCHED: usize = 4;
+
+/// Time between two pings to a watched host
+pub const PING: Duration = Duration::from_millis(500);
+
+/// Silence after which a watched host counts as failed; five lost pings
+pub const SILENCE: Duration = Duration::from_millis(2600);
+
+/// Age up to which a report of demand counts
+const DEMAND_TERM: Duration = Duration::from_secs(4);
+
+/// Entry of one host in the store
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Name of the host
+    pub host: HostId,
+    /// Availability zone
+    pub zone: ZoneId,
+    /// Region of the zone
+    pub region: RegionId,
+    /// Address that callers use
+    pub caller: SocketAddr,
+    /// UDP address for other hosts
+    pub peer: SocketAddr,
+    /// Random number of this run of the process
+    pub incarnation: Incarnation,
+    /// Requests that it can carry, relative to other hosts
+    pub weight: f64,
+    /// Revision of the entry, by which a withdrawal is conditional
+    pub revision: u64,
+}
+
+/// What a host tells others
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Name of the sender
+    pub host: HostId,
+    /// Region of the sender
+    pub region: RegionId,
+    /// Whether an answer is asked for
+    pub ping: bool,
+    /// Slots that the requests entering at the sender keep busy, by service
+    pub demand: BTreeMap<ServiceId, f32>,
+    /// Requests running, by short endpoint id; only within a region
+    pub running: BTreeMap<u32, u32>,
+}
+
+/// Known hosts and when they were heard
+#[derive(Debug, Default)]
+pub struct Fleet {
+    own: HostId,
+    members: BTreeMap<HostId, Member>,
+    heard: BTreeMap<HostId, Instant>,
+    watched: BTreeMap<HostId, Instant>,
+    demand: BTreeMap<HostId, (Instant, RegionId, BTreeMap<ServiceId, f32>)>,
+}
+
+impl Fleet {
+    /// Fleet that knows only the own name
+    pub fn new(own: HostId) -> Self {
+        Self {
+            own,
+            ..Self::default()
+        }
+    }
+
+    /// Take the whole list of a fresh read
+    pub fn replace(&mut self, list: Vec<Member>) {
+        self.members = list
+            .into_iter()
+            .map(|member| (member.host.clone(), member))
+            .collect();
+    }
+
+    /// Take one entry
+    pub fn put(&mut self, member: Member) {
+        self.members.insert(member.host.clone(), member);
+    }
+
+    /// An entry was withdrawn
+    pub fn remove(&mut self, host: &HostId) -> bool {
+        self.demand.remove(host);
+        self.heard.remove(host);
+        self.members.remove(host).is_some()
+    }
+
+    /// Own entry as the store has it
+    pub fn own(&self) -> Option<&Member> {
+        self.members.get(&self.own)
+    }
+
+    /// Listed hosts
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Number of hosts, the own one included
+    pub fn size(&self) -> usize {
+        let listed = self.members.len();
+        listed.max(1)
+    }
+
+    /// Whether an address belongs to a listed host
+    pub fn knows(&self, host: &HostId, ip: IpAddr) -> bool {
+        let member = self.members.get(host);
+        member.is_some_and(|member| member.peer.ip() == ip)
+    }
+
+    /// Hosts that this one watches: its successors on the ring of hashed names
+    pub fn successors(&self) -> Vec<&Member> {
+        let place = |host: &HostId| (stable_hash(host), host.clone());
+        let own = place(&self.own);
+        let mut ring: Vec<_> = self
+            .members
+            .values()
+            .filter(|member| member.host != self.own)
+            .map(|member| (place(&member.host), member))
+            .collect();
+        ring.sort_by(|(a, _), (b, _)| a.cmp(b));
+        let start = ring.partition_point(|(at, _)| *at <= own);
+        ring.rotate_left(start);
+        ring.truncate(WATCHED);
+        ring.into_iter().map(|(_, member)| member).collect()
+    }
+
+    /// A datagram of a host came
+    pub fn hear(&mut self, now: Instant, report: &Report) {
+        self.heard.insert(report.host.clone(), now);
+        let told = (now, report.region.clone(), report.demand.clone());
+        self.demand.insert(report.host.clone(), told);
+    }
+
+    /// Watched hosts that stay silent; their entries are to be withdrawn
+    ///
+    /// A host that was itself paused or cut off hears nobody. It blames nobody then, as long as
+    /// `WATCHED` hosts are silent together and others exist.
+    pub fn silent(&mut self, now: Instant) -> Vec<Member> {
+        let watched: Vec<HostId> = self.successors().iter().map(|m| m.host.clone()).collect();
+        self.watched.retain(|host, _| watched.contains(host));
+        for host in &watched {
+            self.watched.entry(host.clone()).or_insert(now);
+        }
+        let last = |host: &HostId| {
+            let heard = self.heard.get(host);
+            let since = self.watched.get(host);
+            heard.max(since).copied().unwrap_or(now)
+        };
+        let is_silent = |host: &&HostId| now.saturating_duration_since(last(host)) > SILENCE;
+        let silent: Vec<&HostId> = watched.iter().filter(is_silent).collect();
+        let deaf = silent.len() == watched.len() && watched.len() == WATCHED;
+        let anyone = self.heard.values().any(|at| now < *at + SILENCE);
+        if deaf && !anyone {
+            return Vec::new();
+        }
+        silent
+            .into_iter()
+            .filter_map(|host| self.members.get(host).cloned())
+            .collect()
+    }
+
+    /// A gap in this host's own time: what it did not hear says nothing
+    pub fn paused(&mut self, now: Instant) {
+        for at in self.watched.values_mut() {
+            *at = now;
+        }
+    }
+
+    /// Demand for a service by region, in busy slots; hosts that were not heard count as the mean
+    pub fn demand(&self, now: Instant, service: &str) -> BTreeMap<RegionId, f64> {
+        let mut sums: BTreeMap<RegionId, (f64, u32)> = BTreeMap::new();
+        for (at, region, demand) in self.demand.values() {
+            if now < *at + DEMAND_TERM {
+                let sum = sums.entry(region.clone()).or_default();
+                sum.0 += f64::from(demand.get(service).copied().unwrap_or(0.0));
+                sum.1 += 1;
+            }
+        }
+        let mut hosts: BTreeMap<&RegionId, u32> = BTreeMap::new();
+        for member in self.members.values() {
+            *hosts.entry(&member.region).or_default() += 1;
+        }
+        let scaled = sums.into_iter().map(|(region, (sum, heard))| {
+            let listed = hosts.get(&region).copied().unwrap_or(0).max(heard);
+            let demand = sum * f64::from(listed) / f64::from(heard.max(1));
+            (region, demand)
+        });
+        scaled.collect()
+    }
+
+    /// Addresses for a caller of a region, at most `most`
+    ///
+    /// Hosts of the caller's region, or all if it has none. Of many, those with more weight are
+    /// named more often, since callers choose among them at random.
+    pub fn directory(&self, region: &str, most: usize, rng: &mut fastrand::Rng) -> Vec<SocketAddr> {
+        let near: Vec<&Member> = self
+            .members
+            .values()
+            .filter(|member| member.region == region)
+            .collect();
+        let all = || self.members.values().collect();
+        let hosts: Vec<&Member> = if near.is_empty() { all() } else { near };
+        // Weighted sample without replacement: the largest keys of u^(1/w).
+        let mut keyed: Vec<(f64, &Member)> = hosts
+            .into_iter()
+            .map(|member| (rng.f64().ln() / member.weight.max(1e-3), member))
+            .collect();
+        keyed.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        keyed.truncate(most);
+        keyed.into_iter().map(|(_, member)| member.caller).collect()
+    }
+}
+
+/// Encode a report for a datagram
+pub fn encode(report: &Report) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_stdvec(report)
+}
+
+/// Decode a datagram
+pub fn decode(bytes: &[u8]) -> Result<Report, postcard::Error> {
+    postcard::from_bytes(bytes)
+}
+
+/// Name of a host in a log line
+pub fn names(members: &[Member]) -> Vec<CompactString> {
+    members.iter().map(|member| member.host.clone()).collect()
+}
--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,312 @@
+//! A request's way through this host: route, region, endpoint, and what follows a failure.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::exchange::{self, Failure, Limits, Place, Relay};
+use super::reply::{Refusal, Reply};
+use super::upload::Upload;
+use super::{Gateway, record};
+use crate::catalog::Endpoint;
+use crate::id::{EndpointId, RegionId, ServiceId};
+use crate::message::Request;
+use crate::placement::{Ask, Choice};
+use crate::platform::header;
+use crate::policy::{Repeat, Route};
+use crate::quarantine;
+
+/// Time that a request may take where neither caller nor route says
+const DEFAULT_TIME: Duration = Duration::from_secs(30);
+
+/// Attempts that were certainly not run, beyond those that the route allows to run
+const EXTRA: u32 = 2;
+
+/// Times the longest usual work after which an idempotent request is tried elsewhere
+const PATIENCE: u32 = 4;
+
+/// Least time before an idempotent request is tried elsewhere
+const LEAST_PATIENCE: Duration = Duration::from_millis(800);
+
+/// Bytes of a body that count for recognizing a request that comes again
+const KEY_BYTES: usize = 4 << 10;
+
+/// One request on its way
+struct Journey<'a> {
+    gateway: &'a Rc<Gateway>,
+    request: &'a Request,
+    route: Rc<Route>,
+    service: ServiceId,
+    key: quarantine::Key,
+    arrived: Instant,
+    deadline: Instant,
+    until: Instant,
+    tried: Vec<EndpointId>,
+    ran: u32,
+    not_run: u32,
+    may_have_run: bool,
+}
+
+/// Serve one request
+pub async fn forward(
+    gateway: &Rc<Gateway>,
+    request: &Request,
+    upload: &mut Upload<'_>,
+    arrived: Instant,
+) -> Reply {
+    let mut journey = match plan(gateway, request, upload, arrived) {
+        Ok(journey) => journey,
+        Err(refusal) => return Reply::Own(refusal),
+    };
+    journey.run(upload).await
+}
+
+fn plan<'a>(
+    gateway: &'a Rc<Gateway>,
+    request: &'a Request,
+    upload: &Upload<'_>,
+    arrived: Instant,
+) -> Result<Journey<'a>, Refusal> {
+    let Some(document) = gateway.document() else {
+        return Err(Refusal::not_run("no configuration", Duration::from_millis(500)));
+    };
+    let host = request.headers.get("host").unwrap_or_default();
+    let Some(route) = document.route(host, request.path()) else {
+        // While the store is dark the route may be one that this host has not heard of.
+        return Err(match gateway.mirror.borrow().is_dark() {
+            true => Refusal::not_run("no route known", Duration::from_millis(500)),
+            false => Refusal::new(404, "no route"),
+        });
+    };
+    let service = route.pick().cloned();
+    let service = service.ok_or_else(|| Refusal::new(404, "route without a service"))?;
+    let body: &[u8] = match upload {
+        Upload::Whole(body) => &body[..body.len().min(KEY_BYTES)],
+        Upload::Stream { .. } => &[],
+    };
+    let caller = header::caller(&request.headers);
+    let key = quarantine::key(&service, caller, &request.target, body);
+    if let Some(left) = gateway.quarantine.borrow_mut().refusal(arrived, key) {
+        return Err(Refusal::quarantined(left));
+    }
+    let waits = header::deadline(&request.headers);
+    let time = waits.or(route.timeout).unwrap_or(DEFAULT_TIME);
+    let deadline = arrived + time;
+    let until = route.timeout.map_or(deadline, |limit| deadline.min(arrived + limit));
+    gateway.count_request(arrived, &service);
+    Ok(Journey {
+        gateway,
+        request,
+        route,
+        service,
+        key,
+        arrived,
+        deadline,
+        until,
+        tried: Vec::new(),
+        ran: 0,
+        not_run: 0,
+        may_have_run: false,
+    })
+}
+
+impl Journey<'_> {
+    fn is_idempotent(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+
+    async fn run(&mut self, upload: &mut Upload<'_>) -> Reply {
+        let mut last = None;
+        let region = self.region();
+        loop {
+            let now = Instant::now();
+            if now >= self.until {
+                return self.give_up(last.unwrap_or(Failure::Late));
+            }
+            let Some((endpoint, choice)) = self.choose(now, &region) else {
+                return match last {
+                    Some(failure) => self.give_up(failure),
+                    None => self.refuse("no endpoint", Duration::from_millis(400)),
+                };
+            };
+            if self.tried.is_empty() && now + choice.wait >= self.until {
+                return self.refuse("no room", choice.wait);
+            }
+            let failure = match self.attempt(upload, endpoint, &choice).await {
+                Ok(relay) => match self.judge(relay, upload) {
+                    Ok(reply) => return reply,
+                    Err(failure) => failure,
+                },
+                Err(failure) => failure,
+            };
+            if !self.may_go_on(&failure, upload) {
+                return self.give_up(failure);
+            }
+            last = Some(failure);
+        }
+    }
+
+    fn region(&self) -> RegionId {
+        let now = Instant::now();
+        self.gateway.pick_region(now, &self.service, &self.route.regions)
+    }
+
+    /// Best endpoint in the picked region, else in any region that the route allows
+    fn choose(&self, now: Instant, region: &RegionId) -> Option<(Endpoint, Choice)> {
+        let gateway = self.gateway;
+        let catalog = gateway.catalog.borrow();
+        let pool = gateway.pool.borrow();
+        let object = header::object(&self.request.headers).filter(|_| self.route.affinity);
+        let avoid = gateway.quarantine.borrow().avoid(self.key);
+        let avoid: Vec<EndpointId> = avoid.into_iter().chain(self.tried.iter().cloned()).collect();
+        let ask = Ask {
+            route: &self.route.name,
+            object,
+            avoid: &avoid,
+        };
+        let may = |end: &&Endpoint| {
+            !catalog.is_cold(now, &end.id) || gateway.may_warm(now, end)
+        };
+        let near = || catalog.usable(&self.service).filter(|end| end.region == *region);
+        let choice = pool.choose(now, &ask, near().filter(may));
+        let choice = choice.or_else(|| {
+            let allowed = &self.route.regions;
+            let others = catalog.usable(&self.service).filter(|end| end.region != *region);
+            let others = others.filter(|e| allowed.is_empty() || allowed.contains(&e.region));
+            pool.choose(now, &ask, others.filter(may))
+        })?;
+        let endpoint = catalog.get(&choice.id)?.clone();
+        if catalog.is_cold(now, &choice.id) {
+            gateway.warm(now, &endpoint);
+        }
+        Some((endpoint, choice))
+    }
+
+    async fn attempt(
+        &mut self,
+        upload: &mut Upload<'_>,
+        endpoint: Endpoint,
+        choice: &Choice,
+    ) -> Result<Relay, Failure> {
+        let id = endpoint.id.clone();
+        self.tried.push(id.clone());
+        let pace = choice.time + self.gateway.pool.borrow().longest(&self.route.name) * PATIENCE;
+        let patience = pace.max(LEAST_PATIENCE);
+        let now = Instant::now();
+        let left = self.until.saturating_duration_since(now);
+        let again = self.is_idempotent() && self.ran + 1 < self.route.attempts;
+        let until = match again && left > patience + pace / 2 {
+            true => now + patience,
+            false => self.until,
+        };
+        let limits = Limits {
+            until,
+            deadline: self.until,
+            idempotent: self.is_idempotent(),
+        };
+        let rank = header::object(&self.request.headers).map(|_| choice.rank);
+        let place = Place::new(
+            self.gateway,
+            endpoint,
+            self.route.name.clone(),
+            rank.filter(|_| self.route.affinity),
+        );
+        self.gateway.quarantine.borrow_mut().start(self.key, &id);
+        let result = exchange::run(self.gateway, place, self.request, upload, limits).await;
+        self.gateway.quarantine.borrow_mut().end(self.key, &id);
+        match &result {
+            Ok(_) => self.ran += 1,
+            Err(failure) if failure.is_not_run() => self.not_run += 1,
+            Err(failure) => {
+                self.ran += 1;
+                self.may_have_run = true;
+                if matches!(failure, Failure::Broken(_)) {
+                    let mut list = self.gateway.quarantine.borrow_mut();
+                    list.blame(Instant::now(), self.key, &id);
+                }
+            }
+        }
+        result
+    }
+
+    /// Whether an answer is passed on; a failure of the endpoint may be tried elsewhere
+    fn judge(&mut self, relay: Relay, upload: &Upload<'_>) -> Result<Reply, Failure> {
+        let status = relay.head.status;
+        if status < 500 || status == 501 {
+            self.gateway.quarantine.borrow_mut().clear(self.key);
+        }
+        if status >= 500 && self.is_idempotent() && relay.rest.is_none() {
+            let failure = Failure::Broken(format!("status {status}"));
+            if self.may_go_on(&failure, upload) {
+                return Err(failure);
+            }
+        }
+        // These statuses would promise that the request did not run, which is not known.
+        let promises = matches!(status, 408 | 421 | 429 | 503);
+        if promises && !self.is_idempotent() {
+            self.may_have_run = true;
+            return Ok(self.give_up(Failure::Broken(format!("status {status}"))));
+        }
+        self.finish("served", status);
+        Ok(Reply::Relayed(relay))
+    }
+
+    /// Whether another endpoint may be asked after a failure; takes from the retry budget
+    fn may_go_on(&mut self, failure: &Failure, upload: &Upload<'_>) -> bool {
+        if matches!(failure, Failure::Caller(_)) || !upload.is_whole() {
+            return false;
+        }
+        if self.not_run > EXTRA || self.ran >= self.route.attempts {
+            return false;
+        }
+        if !failure.is_not_run() && !self.is_idempotent() {
+            return false;
+        }
+        let now = Instant::now();
+        if now >= self.until {
+            return false;
+        }
+        if let Some(left) = self.gateway.quarantine.borrow_mut().refusal(now, self.key) {
+            log::debug!("quarantined for {left:?}");
+            return false;
+        }
+        // What was never sent reaches no endpoint, so it does not count.
+        if matches!(failure, Failure::NotSent(_)) {
+            return true;
+        }
+        self.gateway.allow_retry(now, &self.service)
+    }
+
+    fn give_up(&mut self, failure: Failure) -> Reply {
+        let may_have_run = self.may_have_run || matches!(failure, Failure::Late if self.ran > 0);
+        if !may_have_run || (self.is_idempotent() && failure.is_not_run()) {
+            let back = self.gateway.pool.borrow().mean(&self.route.name);
+            return self.refuse("endpoints did not run it", back);
+        }
+        let status = match failure {
+            Failure::Late => 504,
+            _ => 502,
+        };
+        self.finish(&failure.to_string(), status);
+        Reply::Own(Refusal::new(status, "unknown whether it ran"))
+    }
+
+    fn refuse(&mut self, reason: &'static str, wait: Duration) -> Reply {
+        self.finish(reason, 503);
+        Reply::Own(Refusal::not_run(reason, wait))
+    }
+
+    fn finish(&self, outcome: &str, status: u16) {
+        let took = self.arrived.elapsed();
+        self.gateway.metrics.request(&self.route.name, status, took);
+        self.gateway.recorder.request(&record::Line {
+            id: header::attempt(&self.request.headers).unwrap_or("-"),
+            route: &self.route.name,
+            service: &self.service,
+            status,
+            outcome,
+            took,
+            tried: &self.tried,
+            left: self.until.saturating_duration_since(Instant::now()),
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/run.rs
@@ -0,0 +1,197 @@
+//! A gateway as a process: start, reload, planned stop.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_signal::{Signal, Signals};
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, Logger, LoggerHandle};
+use smol::channel::{Sender, bounded};
+use smol::future::FutureExt;
+use smol::net::{TcpListener, UdpSocket};
+use smol::stream::StreamExt;
+use smol::{LocalExecutor, Timer};
+
+use super::{Gateway, accept, peers, ports, probe, record, stop, watch};
+use crate::error::Error;
+use crate::platform::node;
+use crate::platform::store::Kind;
+
+/// Lines that wait for standard output; more are dropped, so that no request waits for a reader
+const LOG_QUEUE: usize = 1024;
+
+/// Time between two looks at the settings file
+const LOOK: Duration = Duration::from_secs(2);
+
+/// Options of a gateway process
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Settings file of the platform
+    pub settings: PathBuf,
+    /// Port of the metrics address
+    pub metrics: u16,
+    /// Log level or `flexi_logger` specification
+    pub log: String,
+}
+
+/// Check the settings file only
+pub fn check(options: &Options) -> Result<(), Error> {
+    read(&options.settings).map(|_| println!("{}: settings are good", options.settings.display()))
+}
+
+/// Run a gateway until it is told to stop
+pub fn run(options: &Options) -> Result<(), Error> {
+    let _log = log(&options.log)?;
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.clone().run(serve(options, executor)))
+}
+
+fn read(path: &Path) -> Result<super::Settings, Error> {
+    node::read(path).map_err(|error| Error::Usage(error.to_string()))
+}
+
+async fn serve(options: &Options, executor: Rc<LocalExecutor<'static>>) -> Result<(), Error> {
+    let settings = read(&options.settings)?;
+    let metrics = SocketAddr::new(settings.caller.ip(), options.metrics);
+    let callers = bind(settings.caller).await?;
+    let mut listeners = vec![
+        (bind(settings.ready).await?, ports::front as fn(&_, &_, &_) -> _),
+        (bind(metrics).await?, ports::operator),
+    ];
+    if let Some(address) = settings.directory {
+        listeners.push((bind(address).await?, ports::front));
+    }
+    if let Some(address) = settings.control {
+        listeners.push((bind(address).await?, ports::control));
+    }
+    let socket = UdpSocket::bind(settings.peer).await;
+    let socket = socket.map_err(|error| unavailable(settings.peer, &error))?;
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .map_err(|error| Error::Unavailable(format!("cannot watch for signals: {error}")))?;
+    let gateway = Rc::new(Gateway::new(settings, executor));
+    let fields = [("host", gateway.settings.borrow().host.as_str().into())];
+    gateway.recorder.event("started", &fields);
+    for (listener, answer) in listeners {
+        gateway.spawn(ports::serve(gateway.clone(), listener, answer)).detach();
+    }
+    follow(&gateway, &socket);
+    gateway.spawn(peers::tell_near(gateway.clone(), socket.clone())).detach();
+    gateway.spawn(peers::tell_far(gateway.clone(), socket)).detach();
+    gateway.spawn(peers::register(gateway.clone())).detach();
+    gateway.spawn(probe::run(gateway.clone())).detach();
+    gateway.spawn(watch::ask_others(gateway.clone())).detach();
+    let listening = gateway.spawn(accept::serve(gateway.clone(), callers));
+    until_stopped(&gateway, signals, &options.settings).await;
+    stop::stop(&gateway, listening).await;
+    Ok(())
+}
+
+/// Follow the store, with reports of other hosts waking silent watches
+fn follow(gateway: &Rc<Gateway>, socket: &UdpSocket) {
+    let mut kicks = BTreeMap::new();
+    for kind in Kind::ALL {
+        let (kick, kicked) = bounded(1);
+        kicks.insert(kind, kick);
+        gateway.spawn(watch::follow(gateway.clone(), kind, kicked)).detach();
+    }
+    gateway.spawn(peers::listen(gateway.clone(), socket.clone(), kicks)).detach();
+}
+
+/// Wait for SIGTERM or SIGINT; settings are read again on SIGHUP and when the file changed
+async fn until_stopped(gateway: &Gateway, mut signals: Signals, path: &Path) {
+    loop {
+        let signal = async { Some(signals.next().await) };
+        let look = async {
+            Timer::after(LOOK).await;
+            None
+        };
+        match signal.or(look).await {
+            None => reload(gateway, path, false),
+            Some(Some(Ok(Signal::Hup))) => reload(gateway, path, true),
+            Some(Some(Ok(_)) | None) => return,
+            Some(Some(Err(error))) => log::warn!("a signal was lost: {error}"),
+        }
+    }
+}
+
+fn reload(gateway: &Gateway, path: &Path, told: bool) {
+    let fresh = match node::read(path) {
+        Ok(fresh) => fresh,
+        Err(error) => return log::error!("{error}; the old settings stay"),
+    };
+    let mut settings = gateway.settings.borrow_mut();
+    if *settings == fresh && !told {
+        return;
+    }
+    if fresh.caller != settings.caller || fresh.peer != settings.peer {
+        log::warn!("new listen addresses are used from the next start on");
+    }
+    // Where it listens stays as it is until the next start.
+    *settings = super::Settings {
+        caller: settings.caller,
+        ready: settings.ready,
+        control: settings.control,
+        directory: settings.directory,
+        peer: settings.peer,
+        ..fresh
+    };
+    drop(settings);
+    gateway.recorder.event("settings-read", &[("told", told.into())]);
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|error| unavailable(address, &error))
+}
+
+fn unavailable(address: SocketAddr, error: &std::io::Error) -> Error {
+    Error::Unavailable(format!("cannot listen on {address}: {error}; free the address"))
+}
+
+/// Log to standard output through a queue and a thread, so that a slow reader blocks nothing
+fn log(level: &str) -> Result<LoggerHandle, Error> {
+    let usage = |error: flexi_logger::FlexiLoggerError| {
+        Error::Usage(format!("log: {error}; use a level such as info"))
+    };
+    let (lines, queue) = bounded::<String>(LOG_QUEUE);
+    std::thread::spawn(move || {
+        use std::io::Write;
+        while let Ok(line) = queue.recv_blocking() {
+            // Standard output may be closed; there is nowhere left to tell it.
+            let _ = std::io::stdout().write_all(line.as_bytes());
+        }
+    });
+    let logger = Logger::try_with_str(level).map_err(usage)?;
+    let writer = Box::new(Queue(lines));
+    logger.log_to_writer(writer).start().map_err(usage)
+}
+
+/// Log writer that drops lines when its queue is full
+struct Queue(Sender<String>);
+
+impl LogWriter for Queue {
+    fn write(&self, now: &mut DeferredNow, record: &log::Record<'_>) -> std::io::Result<()> {
+        let time = now.now().to_rfc3339();
+        let line = match record.target() {
+            record::TARGET => format!("{{\"t\":\"{time}\",\"decision\":{}}}\n", record.args()),
+            target => {
+                let message = record.args().to_string();
+                let level = record.level().as_str();
+                let line = serde_json::json!({
+                    "t": time, "level": level, "module": target, "message": message,
+                });
+                format!("{line}\n")
+            }
+        };
+        // A full queue means that nobody reads; the line is lost by design.
+        let _ = self.0.try_send(line);
+        Ok(())
+    }
+
+    fn flush(&self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/gateway/stop.rs
@@ -0,0 +1,42 @@
+//! Planned stop: leave the directory, finish what runs, let callers go.
+//!
+//! The host goes on serving while callers may still name it, with `Connection: close` on each
+//! answer. Late in the grace time it takes no more connections, and ends once nothing runs.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use smol::{Task, Timer};
+
+use super::{Gateway, peers};
+
+/// Time before the end of the grace time at which no more connections are taken; longer than most
+/// requests last
+const LAST: Duration = Duration::from_millis(2200);
+
+/// Time before the end of the grace time at which the process ends in any case
+const MARGIN: Duration = Duration::from_millis(250);
+
+/// Pause between two looks at what still runs
+const PAUSE: Duration = Duration::from_millis(25);
+
+/// Run a planned stop; `listening` takes callers until it is dropped
+pub async fn stop(gateway: &Rc<Gateway>, listening: Task<()>) {
+    let begun = Instant::now();
+    gateway.stopping.set(true);
+    gateway.recorder.event("stopping", &[("running", gateway.running.get().into())]);
+    let grace = gateway.settings.borrow().grace;
+    let leaver = gateway.clone();
+    let leaving = gateway.spawn(async move { peers::leave(&leaver, begun + grace / 2).await });
+    let closes = begun + grace.saturating_sub(LAST);
+    while Instant::now() < closes {
+        Timer::after(PAUSE).await;
+    }
+    drop(listening);
+    let ends = begun + grace.saturating_sub(MARGIN);
+    while Instant::now() < ends && gateway.running.get() > 0 {
+        Timer::after(PAUSE).await;
+    }
+    drop(leaving);
+    gateway.recorder.event("stopped", &[("running", gateway.running.get().into())]);
+}
--- a/src/id.rs
+++ b/src/id.rs
@@ -14,6 +14,9 @@
 /// Name of a steered service
 pub type ServiceId = CompactString;
 
+/// Name of a route
+pub type RouteId = CompactString;
+
 /// Name of one upstream address of a service
 pub type EndpointId = CompactString;
 
--- a/src/member/agent.rs
+++ b/src/member/agent.rs
@@ -14,7 +14,7 @@
 use crate::id::{HostId, Version};
 use crate::member::{FAR_INTERVAL, INTERVAL, Listed, View};
 use crate::peer::{self, Exchange, Link, Moved};
-use crate::platform;
+use crate::object;
 use crate::wire::{Frame, Heartbeat, Issuer};
 
 /// Most quarantined keys in one heartbeat
@@ -122,7 +122,7 @@
     ///
     /// `seeds` are addresses of hosts to ask while neither the platform nor a heartbeat has told
     /// about any host.
-    pub async fn run(self: Arc<Self>, platform: platform::Client, seeds: Vec<SocketAddr>) {
+    pub async fn run(self: Arc<Self>, platform: object::Client, seeds: Vec<SocketAddr>) {
         let list = self.clone().follow_list(platform, seeds);
         smol::spawn(list).detach();
         loop {
@@ -417,8 +417,8 @@
         }
     }
 
-    async fn follow_list(self: Arc<Self>, platform: platform::Client, seeds: Vec<SocketAddr>) {
-        let mut backoff = platform::Backoff::new(BACKOFF.0, BACKOFF.1);
+    async fn follow_list(self: Arc<Self>, platform: object::Client, seeds: Vec<SocketAddr>) {
+        let mut backoff = object::Backoff::new(BACKOFF.0, BACKOFF.1);
         let any = HostId::from(peer::ANY_HOST);
         loop {
             let unknown = lock(&self.view).listing() == 0;
--- a/src/member/tests/agent.rs
+++ b/src/member/tests/agent.rs
@@ -9,7 +9,7 @@
 use crate::member::{Agent, Hooks, Listed, State, View};
 use crate::peer::tests::{Directory, link, run};
 use crate::peer::{Link, Traffic, UNUSED};
-use crate::platform;
+use crate::object;
 
 /// Time between two looks at what a test waits for
 const LOOK: Duration = Duration::from_millis(20);
@@ -48,7 +48,7 @@
         });
         smol::spawn(serve).detach();
         let seeds = seeds.iter().map(|seed| seed.entry().peer).collect();
-        smol::spawn(agent.run(platform::Client::new(Vec::new()), seeds)).detach();
+        smol::spawn(agent.run(object::Client::new(Vec::new()), seeds)).detach();
         smol::spawn(clock(self.view.clone())).detach();
     }
 
--- a/src/platform/tests/backoff.rs
+++ b/src/object/tests/backoff.rs
@@ -4,7 +4,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use crate::platform::Backoff;
+use crate::object::Backoff;
 
 const SECOND: Duration = Duration::from_secs(1);
 
--- a/src/platform/tests/client.rs
+++ b/src/object/tests/client.rs
@@ -7,7 +7,7 @@
 use smol::net::TcpListener;
 
 use crate::http;
-use crate::platform::{Client, Error, Kind, Total};
+use crate::object::{Client, Error, Kind, Total};
 use crate::standin::platform::Platform;
 
 const SHORT: Duration = Duration::from_millis(300);
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -6,7 +6,7 @@
 use crate::config::Shares;
 use crate::id::{EndpointId, HostId, Incarnation, RegionId, ServiceId, Version, ZoneId};
 use crate::member::State;
-use crate::platform::{Client, Kind, Total};
+use crate::object::{Client, Kind, Total};
 
 /// State of one entry host
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -9,7 +9,7 @@
 use crate::http;
 use crate::id::ZoneId;
 use crate::member::{Listed, View};
-use crate::platform::Client;
+use crate::object::Client;
 use crate::wire::{Cause, Reason};
 use crate::{config, route};
 
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,276 @@
+//! Choice of the endpoint for a request, by expected time to its answer.
+//!
+//! Load pattern: requests of a few dozen objects arrive at all hosts of a region at once, and an
+//! endpoint that handled an object lately takes a third of the time for it. All hosts rank the
+//! endpoints of an object alike (rendezvous hashing), so an object stays on few endpoints without
+//! any exchange; a busy endpoint is weighed against the next in rank, which may be cold for it.
+//!
+//! What other hosts of the region run is known from their reports ([`Pool::heard`]).
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use crate::catalog::Endpoint;
+use crate::id::{EndpointId, HostId, RouteId};
+use crate::util::stable_hash;
+
+mod seat;
+mod work;
+
+
+pub use seat::{Outcome, Seat};
+pub use work::Work;
+
+/// Age after which a report of another host counts for nothing; several report intervals
+const REPORT_TERM: Duration = Duration::from_millis(1500);
+
+/// Age up to which an endpoint's own load header counts; about the time of one request
+const LOAD_TERM: Duration = Duration::from_millis(250);
+
+/// What a request asks of the pool
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// Route, by which the work is learned
+    pub route: &'a RouteId,
+    /// Object that the request concerns, where endpoints remember objects
+    pub object: Option<u64>,
+    /// Endpoints that must not be used again
+    pub avoid: &'a [EndpointId],
+}
+
+/// An endpoint and what to expect of it
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Chosen endpoint
+    pub id: EndpointId,
+    /// Place in the order of the object's endpoints, 0 the first
+    pub rank: usize,
+    /// Expected wait for a slot there
+    pub wait: Duration,
+    /// Expected time to the answer
+    pub time: Duration,
+}
+
+/// Load and health of the endpoints as this host knows them
+#[derive(Debug, Default)]
+pub struct Pool {
+    seats: BTreeMap<EndpointId, Seat>,
+    work: BTreeMap<RouteId, Work>,
+    reports: BTreeMap<HostId, Report>,
+}
+
+#[derive(Debug)]
+struct Report {
+    at: Instant,
+    running: BTreeMap<u32, u32>,
+}
+
+/// Short form of an endpoint id in reports
+pub fn short(id: &EndpointId) -> u32 {
+    stable_hash(id) as u32
+}
+
+impl Pool {
+    /// Pool that knows nothing
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Forget endpoints that are gone, and start anew for one that restarted
+    pub fn forget(&mut self, id: &EndpointId) {
+        self.seats.remove(id);
+    }
+
+    /// Forget hosts that left
+    pub fn forget_host(&mut self, host: &HostId) {
+        self.reports.remove(host);
+    }
+
+    /// Take what another host of the region runs
+    pub fn heard(&mut self, now: Instant, host: HostId, running: BTreeMap<u32, u32>) {
+        self.reports.insert(host, Report { at: now, running });
+    }
+
+    /// What this host runs, by short endpoint id
+    pub fn report(&self) -> BTreeMap<u32, u32> {
+        let busy = self.seats.iter().filter(|(_, seat)| seat.running() > 0);
+        busy.map(|(id, seat)| (short(id), seat.running())).collect()
+    }
+
+    /// Best endpoint among candidates; `None` if none may be used now
+    pub fn choose<'a>(
+        &self,
+        now: Instant,
+        ask: &Ask<'_>,
+        candidates: impl Iterator<Item = &'a Endpoint>,
+    ) -> Option<Choice> {
+        let mut ranked: Vec<(u64, &Endpoint)> = candidates
+            .filter(|end| !ask.avoid.contains(&end.id))
+            .filter(|end| self.seat(&end.id).is_none_or(|seat| seat.is_open(now)))
+            .map(|end| (self.score(ask, end), end))
+            .collect();
+        ranked.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
+        let default = Work::default();
+        let work = self.work.get(ask.route).unwrap_or(&default);
+        let mut best: Option<(f64, Choice)> = None;
+        for (rank, (_, end)) in ranked.iter().enumerate() {
+            let (wait, time) = self.expect(now, ask, work, end, rank);
+            let cost = time + self.penalty(now, end, work);
+            if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
+                continue;
+            }
+            let choice = Choice {
+                id: end.id.clone(),
+                rank,
+                wait: Duration::from_secs_f64(wait),
+                time: Duration::from_secs_f64(time),
+            };
+            best = Some((cost, choice));
+        }
+        best.map(|(_, choice)| choice)
+    }
+
+    /// A request goes to an endpoint
+    pub fn start(&mut self, now: Instant, id: &EndpointId) {
+        self.seats.entry(id.clone()).or_default().start(now);
+    }
+
+    /// A request ended at an endpoint
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        id: &EndpointId,
+        route: &RouteId,
+        rank: Option<usize>,
+        begun: Instant,
+        outcome: Outcome,
+    ) {
+        let seat = self.seats.entry(id.clone()).or_default();
+        let crowded = seat.crowded();
+        seat.finish(now, begun, outcome);
+        if let Outcome::Served(took) = outcome {
+            let work = self.work.entry(route.clone()).or_default();
+            seat.pace(now, took.as_secs_f64() / work.mean());
+            work.learn(took, rank, crowded);
+        }
+    }
+
+    /// An endpoint reported its load
+    pub fn loaded(&mut self, now: Instant, id: &EndpointId, running: u32, waiting: u32) {
+        let seat = self.seats.entry(id.clone()).or_default();
+        seat.load = Some((now, running + waiting));
+    }
+
+    /// An endpoint took no connection or is not the one that was meant
+    pub fn refused(&mut self, now: Instant, id: &EndpointId) {
+        self.seats.entry(id.clone()).or_default().leave_out(now);
+    }
+
+    /// State of an endpoint that was used
+    pub fn seat(&self, id: &EndpointId) -> Option<&Seat> {
+        self.seats.get(id)
+    }
+
+    /// Endpoints out of use whose health may be asked now
+    pub fn due(&mut self, now: Instant) -> Vec<EndpointId> {
+        let due = self.seats.iter_mut().filter_map(|(id, seat)| {
+            let due = seat.probe(now);
+            due.then(|| id.clone())
+        });
+        due.collect()
+    }
+
+    /// Result of a health check
+    pub fn probed(&mut self, now: Instant, id: &EndpointId, good: bool) {
+        if let Some(seat) = self.seats.get_mut(id) {
+            seat.probed(now, good);
+        }
+    }
+
+    /// Mean time of a route's requests at an endpoint
+    pub fn mean(&self, route: &RouteId) -> Duration {
+        let mean = self.work.get(route).map_or(work::GUESS, Work::mean);
+        Duration::from_secs_f64(mean)
+    }
+
+    /// Time of a route's requests at an endpoint that does not know the object
+    pub fn longest(&self, route: &RouteId) -> Duration {
+        let cold = self.work.get(route).map_or(work::GUESS, Work::cold);
+        Duration::from_secs_f64(cold)
+    }
+
+    /// What is known of a route's work
+    pub fn work(&self, route: &RouteId) -> Option<&Work> {
+        self.work.get(route)
+    }
+
+    fn score(&self, ask: &Ask<'_>, end: &Endpoint) -> u64 {
+        match ask.object {
+            Some(object) => stable_hash(&(object, &end.id)),
+            None => fastrand::u64(..),
+        }
+    }
+
+    /// Expected wait and time to the answer, in seconds
+    fn expect(
+        &self,
+        now: Instant,
+        ask: &Ask<'_>,
+        work: &Work,
+        end: &Endpoint,
+        rank: usize,
+    ) -> (f64, f64) {
+        let seat = self.seats.get(&end.id);
+        let slots = f64::from(end.slots.max(1));
+        let load = f64::from(self.load(now, end));
+        let pace = seat.map_or(1.0, |seat| seat.pace_now(now));
+        let ahead = (load + 1.0 - slots).max(0.0);
+        let wait = ahead / slots * work.mean() * pace;
+        let run = match ask.object {
+            Some(_) => work.expected(rank),
+            None => work.mean(),
+        };
+        (wait, wait + run * pace)
+    }
+
+    /// Requests at an endpoint, of all hosts of the region
+    fn load(&self, now: Instant, end: &Endpoint) -> u32 {
+        let seat = self.seats.get(&end.id);
+        let own = seat.map_or(0, Seat::running);
+        let short = short(&end.id);
+        let fresh = self.reports.values();
+        let fresh = fresh.filter(|report| now < report.at + REPORT_TERM);
+        let others: u32 = fresh.filter_map(|report| report.running.get(&short)).sum();
+        let told = seat.and_then(|seat| seat.load);
+        let told = told.filter(|(at, _)| now < *at + LOAD_TERM);
+        (own + others).max(told.map_or(0, |(_, load)| load))
+    }
+
+    /// Extra cost of an endpoint that fails or hangs, in seconds
+    fn penalty(&self, now: Instant, end: &Endpoint, work: &Work) -> f64 {
+        let Some(seat) = self.seats.get(&end.id) else {
+            return 0.0;
+        };
+        let overdue = seat.oldest(now).as_secs_f64() - 2.0 * work.cold() * seat.pace_now(now);
+        seat.failing(now) * 4.0 * work.cold() + overdue.max(0.0)
+    }
+}
+
+/// Sliding count of events
+#[derive(Clone, Debug, Default)]
+pub struct Recent(VecDeque<Instant>);
+
+impl Recent {
+    /// Count an event
+    pub fn add(&mut self, now: Instant) {
+        self.0.push_back(now);
+    }
+
+    /// Events within the last `span`
+    pub fn count(&mut self, now: Instant, span: Duration) -> usize {
+        while self.0.front().is_some_and(|at| *at + span <= now) {
+            self.0.pop_front();
+        }
+        self.0.len()
+    }
+}
--- /dev/null
+++ b/src/region/mod.rs
@@ -0,0 +1,155 @@
+//! Shares of a region's traffic among all regions.
+//!
+//! Load pattern: one region has a third of the traffic and an eighth of the slots, and waves pass
+//! from region to region. Traffic stays at home up to a common level of use; what is over goes to
+//! regions with room, in proportion to it. Shares move slowly, so that no region sees a jump, except
+//! away from a region that can serve nothing.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::id::RegionId;
+
+
+/// Part of its slots that a region uses before it sends traffic away; leaves a queue short
+pub const HOME_USE: f64 = 0.6;
+
+/// Part of the traffic that may move within a second; the platform allows 0.15 in two seconds
+pub const PACE: f64 = 0.045;
+
+/// Least time between two steps
+const STEP: Duration = Duration::from_millis(100);
+
+/// Part of a region's traffic by the region that serves it; the parts sum to 1
+pub type Shares = BTreeMap<RegionId, f64>;
+
+/// Slots and demand of a region
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    /// Slots that may get work
+    pub slots: f64,
+    /// Slots that its own traffic keeps busy, as far as it is known
+    pub demand: f64,
+}
+
+/// Shares for the traffic of `home` that fit demand to room
+pub fn target(home: &RegionId, rooms: &BTreeMap<RegionId, Room>) -> Shares {
+    let slots: f64 = rooms.values().map(|room| room.slots).sum();
+    let demand: f64 = rooms.values().map(|room| room.demand).sum();
+    let own = rooms.get(home).copied().unwrap_or_default();
+    if slots <= 0.0 {
+        return [(home.clone(), 1.0)].into();
+    }
+    let level = (demand / slots).max(HOME_USE);
+    let kept = own.demand.min(own.slots * level);
+    let kept = if own.demand > 0.0 {
+        kept / own.demand
+    } else if own.slots > 0.0 {
+        1.0
+    } else {
+        0.0
+    };
+    let spare = |room: &Room| (room.slots * level - room.demand).max(0.0);
+    let others = || rooms.iter().filter(|(region, _)| *region != home);
+    let mut total: f64 = others().map(|(_, room)| spare(room)).sum();
+    let by_slots = total <= 0.0;
+    if by_slots {
+        total = others().map(|(_, room)| room.slots).sum();
+    }
+    if total <= 0.0 {
+        return [(home.clone(), 1.0)].into();
+    }
+    let mut shares = Shares::new();
+    for (region, room) in others() {
+        let weight = if by_slots { room.slots } else { spare(room) };
+        shares.insert(region.clone(), (1.0 - kept) * weight / total);
+    }
+    shares.insert(home.clone(), kept);
+    shares
+}
+
+/// Shares on their way to a target, and the rotation that keeps to them
+#[derive(Clone, Debug, Default)]
+pub struct Ramp {
+    shares: Shares,
+    moved: Option<Instant>,
+    credit: BTreeMap<RegionId, f64>,
+}
+
+impl Ramp {
+    /// Ramp that starts at its first target
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Shares in force
+    pub fn shares(&self) -> &Shares {
+        &self.shares
+    }
+
+    /// Move toward a target; regions that are not `usable` lose their share at once
+    pub fn step(&mut self, now: Instant, target: &Shares, usable: impl Fn(&RegionId) -> bool) {
+        let Some(moved) = self.moved else {
+            self.shares = target.clone();
+            self.moved = Some(now);
+            return;
+        };
+        let passed = now.saturating_duration_since(moved);
+        if passed >= STEP {
+            self.moved = Some(now);
+            self.advance(target, PACE * passed.as_secs_f64().min(1.0));
+        }
+        let lost: f64 = self
+            .shares
+            .iter()
+            .filter(|(region, _)| !usable(region))
+            .map(|(_, share)| *share)
+            .sum();
+        if lost > 0.0 && lost < 1.0 {
+            self.shares.retain(|region, _| usable(region));
+            for share in self.shares.values_mut() {
+                *share /= 1.0 - lost;
+            }
+        } else if lost >= 1.0 && target.keys().any(&usable) {
+            self.shares = target.clone();
+        }
+    }
+
+    fn advance(&mut self, target: &Shares, most: f64) {
+        let part = |shares: &Shares, region: &RegionId| shares.get(region).copied().unwrap_or(0.0);
+        let regions: Vec<RegionId> = self.shares.keys().chain(target.keys()).cloned().collect();
+        let mut regions = regions;
+        regions.sort();
+        regions.dedup();
+        let gap = |region: &RegionId| part(target, region) - part(&self.shares, region);
+        let distance: f64 = regions.iter().map(|region| gap(region).max(0.0)).sum();
+        if distance <= 0.0 {
+            return;
+        }
+        let fraction = (most / distance).min(1.0);
+        let next = regions.iter().map(|region| {
+            let share = part(&self.shares, region) + gap(region) * fraction;
+            (region.clone(), share)
+        });
+        self.shares = next.filter(|(_, share)| *share > 1e-6).collect();
+    }
+
+    /// Region of the next request
+    ///
+    /// Credits accumulate, so counts follow the shares to within one request. Independent draws
+    /// would move by more than the cap in windows of a few dozen requests.
+    pub fn pick(&mut self) -> Option<RegionId> {
+        self.credit
+            .retain(|region, _| self.shares.contains_key(region));
+        for (region, share) in &self.shares {
+            *self.credit.entry(region.clone()).or_default() += share;
+        }
+        let most = self
+            .credit
+            .iter()
+            .max_by(|(_, a), (_, b)| a.total_cmp(b))
+            .map(|(region, _)| region.clone())?;
+        *self.credit.entry(most.clone()).or_default() -= 1.0;
+        Some(most)
+    }
+}
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -1,5 +1,9 @@
 //! Budgets that bound attempts to a small multiple of requests.
 
+mod window;
+
+pub use window::{Bound, Window};
+
 #[cfg(test)]
 mod tests;
 
