--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -110,11 +110,6 @@
         }
     }
 
-    /// Endpoint of this place
-    pub fn endpoint(&self) -> &Endpoint {
-        &self.endpoint
-    }
-
     /// Give the place back
     pub fn end(&mut self, outcome: Outcome) {
         if std::mem::replace(&mut self.ended, true) {
@@ -122,8 +117,7 @@
         }
         let mut pool = self.gateway.pool.borrow_mut();
         let now = Instant::now();
-        let id = &self.endpoint.id;
-        pool.finish(now, id, &self.route, self.rank, self.begun, outcome);
+        pool.finish(now, &self.endpoint, &self.route, self.rank, self.begun, outcome);
     }
 
     fn served(&mut self, status: u16) {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,5 +1,6 @@
 //! A request's way through this host: route, region, endpoint, and what follows a failure.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,7 @@
 use crate::catalog::Endpoint;
 use crate::id::{EndpointId, RegionId, ServiceId};
 use crate::message::Request;
-use crate::placement::{Ask, Choice};
+use crate::placement::{Ask, Choice, Work};
 use crate::platform::header;
 use crate::policy::{Repeat, Route};
 use crate::quarantine;
@@ -21,6 +22,9 @@
 /// Attempts that were certainly not run, beyond those that the route allows to run
 const EXTRA: u32 = 2;
 
+/// Extra time of an endpoint in another region, in seconds; about a round trip between regions
+const FAR: f64 = 0.025;
+
 /// Times the longest usual work after which an idempotent request is tried elsewhere
 const PATIENCE: u32 = 4;
 
@@ -37,8 +41,10 @@
     route: Rc<Route>,
     service: ServiceId,
     key: quarantine::Key,
+    object: Option<u64>,
+    home: RegionId,
+    region: Option<RegionId>,
     arrived: Instant,
-    deadline: Instant,
     until: Instant,
     tried: Vec<EndpointId>,
     ran: u32,
@@ -96,11 +102,13 @@
     Ok(Journey {
         gateway,
         request,
+        object: header::object(&request.headers).filter(|_| route.affinity),
         route,
         service,
         key,
+        home: gateway.settings.borrow().region.clone(),
+        region: None,
         arrived,
-        deadline,
         until,
         tried: Vec::new(),
         ran: 0,
@@ -116,13 +124,12 @@
 
     async fn run(&mut self, upload: &mut Upload<'_>) -> Reply {
         let mut last = None;
-        let region = self.region();
         loop {
             let now = Instant::now();
             if now >= self.until {
                 return self.give_up(last.unwrap_or(Failure::Late));
             }
-            let Some((endpoint, choice)) = self.choose(now, &region) else {
+            let Some((endpoint, choice)) = self.choose(now) else {
                 return match last {
                     Some(failure) => self.give_up(failure),
                     None => self.refuse("no endpoint", Duration::from_millis(400)),
@@ -145,40 +152,68 @@
         }
     }
 
-    fn region(&self) -> RegionId {
-        let now = Instant::now();
-        self.gateway.pick_region(now, &self.service, &self.route.regions)
+    /// Best endpoint: in the region that is picked for the first attempt, later there or elsewhere
+    fn choose(&mut self, now: Instant) -> Option<(Endpoint, Choice)> {
+        let mut found = self.candidates(now);
+        let picked = match &self.region {
+            Some(region) if found.contains_key(region) => Some(region.clone()),
+            Some(_) => None,
+            None => self.gateway.pick_region(now, &self.service, |region| {
+                let choice: &Choice = found.get(region)?;
+                let far = if *region == self.home { 0.0 } else { FAR };
+                Some(choice.time.as_secs_f64() + far)
+            }),
+        };
+        let nearest = || {
+            let best = found.iter().min_by_key(|(_, choice)| choice.time);
+            best.map(|(region, _)| region.clone())
+        };
+        let region = picked.or_else(nearest)?;
+        let choice = found.remove(&region)?;
+        self.region = Some(region);
+        let catalog = self.gateway.catalog.borrow();
+        let endpoint = catalog.get(&choice.id)?.clone();
+        if catalog.is_cold(now, &choice.id) {
+            self.gateway.warm(now, &endpoint);
+        }
+        Some((endpoint, choice))
     }
 
-    /// Best endpoint in the picked region, else in any region that the route allows
-    fn choose(&self, now: Instant, region: &RegionId) -> Option<(Endpoint, Choice)> {
+    /// Best endpoint of each region that the route allows
+    fn candidates(&self, now: Instant) -> BTreeMap<RegionId, Choice> {
         let gateway = self.gateway;
         let catalog = gateway.catalog.borrow();
         let pool = gateway.pool.borrow();
-        let object = header::object(&self.request.headers).filter(|_| self.route.affinity);
         let avoid = gateway.quarantine.borrow().avoid(self.key);
         let avoid: Vec<EndpointId> = avoid.into_iter().chain(self.tried.iter().cloned()).collect();
-        let ask = Ask {
-            route: &self.route.name,
-            object,
-            avoid: &avoid,
-        };
-        let may = |end: &&Endpoint| {
-            !catalog.is_cold(now, &end.id) || gateway.may_warm(now, end)
-        };
-        let near = || catalog.usable(&self.service).filter(|end| end.region == *region);
-        let choice = pool.choose(now, &ask, near().filter(may));
-        let choice = choice.or_else(|| {
-            let allowed = &self.route.regions;
-            let others = catalog.usable(&self.service).filter(|end| end.region != *region);
-            let others = others.filter(|e| allowed.is_empty() || allowed.contains(&e.region));
-            pool.choose(now, &ask, others.filter(may))
-        })?;
-        let endpoint = catalog.get(&choice.id)?.clone();
-        if catalog.is_cold(now, &choice.id) {
-            gateway.warm(now, &endpoint);
+        let allowed = &self.route.regions;
+        let mut regions: BTreeMap<&RegionId, Vec<&Endpoint>> = BTreeMap::new();
+        for end in catalog.usable(&self.service) {
+            let may = allowed.is_empty() || allowed.contains(&end.region);
+            if may && (!catalog.is_cold(now, &end.id) || gateway.may_warm(now, end)) {
+                regions.entry(&end.region).or_default().push(end);
+            }
         }
-        Some((endpoint, choice))
+        let chosen = regions.into_iter().filter_map(|(region, ends)| {
+            let ask = Ask {
+                route: &self.route.name,
+                region,
+                object: self.object,
+                avoid: &avoid,
+            };
+            let choice = pool.choose(now, &ask, ends.into_iter())?;
+            Some((region.clone(), choice))
+        });
+        chosen.collect()
+    }
+
+    /// Usual time of this route's requests in the region that was picked
+    fn work(&self, read: impl Fn(&Work) -> f64) -> Duration {
+        let pool = self.gateway.pool.borrow();
+        let region = self.region.as_ref().unwrap_or(&self.home);
+        let default = Work::default();
+        let work = pool.work(&self.route.name, region).unwrap_or(&default);
+        Duration::from_secs_f64(read(work))
     }
 
     async fn attempt(
@@ -189,7 +224,7 @@
     ) -> Result<Relay, Failure> {
         let id = endpoint.id.clone();
         self.tried.push(id.clone());
-        let pace = choice.time + self.gateway.pool.borrow().longest(&self.route.name) * PATIENCE;
+        let pace = choice.time + self.work(Work::cold) * PATIENCE;
         let patience = pace.max(LEAST_PATIENCE);
         let now = Instant::now();
         let left = self.until.saturating_duration_since(now);
@@ -203,12 +238,12 @@
             deadline: self.until,
             idempotent: self.is_idempotent(),
         };
-        let rank = header::object(&self.request.headers).map(|_| choice.rank);
+        let rank = self.object.map(|_| choice.rank);
         let place = Place::new(
             self.gateway,
             endpoint,
             self.route.name.clone(),
-            rank.filter(|_| self.route.affinity),
+            rank,
         );
         self.gateway.quarantine.borrow_mut().start(self.key, &id);
         let result = exchange::run(self.gateway, place, self.request, upload, limits).await;
@@ -279,7 +314,7 @@
     fn give_up(&mut self, failure: Failure) -> Reply {
         let may_have_run = self.may_have_run || matches!(failure, Failure::Late if self.ran > 0);
         if !may_have_run || (self.is_idempotent() && failure.is_not_run()) {
-            let back = self.gateway.pool.borrow().mean(&self.route.name);
+            let back = self.work(Work::mean);
             return self.refuse("endpoints did not run it", back);
         }
         let status = match failure {
@@ -306,6 +341,7 @@
             outcome,
             took,
             tried: &self.tried,
+            region: self.region.as_deref().unwrap_or("-"),
             left: self.until.saturating_duration_since(Instant::now()),
         });
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 use crate::catalog::Catalog;
 use crate::fleet::Fleet;
 use crate::id::{EndpointId, Incarnation, RegionId, ServiceId};
-use crate::placement::{Pool, Recent};
+use crate::placement::{Pool, Recent, work};
 use crate::policy::Document;
 use crate::quarantine;
 use crate::region::{self, Ramp, Room, Shares};
@@ -170,14 +170,19 @@
         const SPAN: std::time::Duration = std::time::Duration::from_secs(3);
         let pool = self.pool.borrow();
         let document = self.document();
+        let home = self.settings.borrow().region.clone();
         let work = |service: &ServiceId| {
             let routes = document.iter().flat_map(|document| document.routes());
             let routes = routes.filter(|route| route.parts.iter().any(|p| p.service == *service));
-            let known = routes.filter_map(|route| pool.work(&route.name));
-            let (sum, count) = known.fold((0.0, 0), |(sum, count), work| {
-                (sum + work.warm(), count + 1)
-            });
-            if count > 0 { sum / f64::from(count) } else { 0.3 }
+            let known: Vec<f64> = routes
+                .filter_map(|route| pool.work(&route.name, &home))
+                .filter(|work| work.seen() > 0)
+                .map(|work| work.expected(0))
+                .collect();
+            match known.len() {
+                0 => work::GUESS,
+                count => known.iter().sum::<f64>() / count as f64,
+            }
         };
         let mut arrivals = self.arrivals.borrow_mut();
         let busy = arrivals.iter_mut().map(|(service, recent)| {
@@ -187,8 +192,13 @@
         busy.collect()
     }
 
-    /// Region of the next request for a service, among the regions that its route allows
-    fn pick_region(&self, now: Instant, service: &ServiceId, allowed: &[RegionId]) -> RegionId {
+    /// Region of the next request for a service, by expected cost in seconds
+    fn pick_region(
+        &self,
+        now: Instant,
+        service: &ServiceId,
+        cost: impl Fn(&RegionId) -> Option<f64>,
+    ) -> Option<RegionId> {
         let home = self.settings.borrow().region.clone();
         let rooms = self.rooms(now, service);
         let target = region::target(&home, &rooms);
@@ -196,14 +206,7 @@
         let ramp = ramps.entry(service.clone()).or_default();
         let usable = |region: &RegionId| rooms.get(region).is_some_and(|room| room.slots > 0.0);
         ramp.step(now, &target, usable);
-        let picked = ramp.pick().unwrap_or_else(|| home.clone());
-        if allowed.is_empty() || allowed.contains(&picked) {
-            return picked;
-        }
-        if allowed.contains(&home) {
-            return home;
-        }
-        allowed.first().cloned().unwrap_or(home)
+        ramp.pick(cost)
     }
 
     /// Shares in force by service
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -41,6 +41,8 @@
     pub took: Duration,
     /// Endpoints that were asked, in order
     pub tried: &'a [CompactString],
+    /// Region that was picked
+    pub region: &'a str,
     /// Time that was left of the deadline
     pub left: Duration,
 }
@@ -95,6 +97,7 @@
             "took_ms": line.took.as_millis() as u64,
             "left_ms": line.left.as_millis() as u64,
             "tried": line.tried,
+            "region": line.region,
         });
         log::info!(target: TARGET, "{text}");
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -11,11 +11,11 @@
 use std::time::{Duration, Instant};
 
 use crate::catalog::Endpoint;
-use crate::id::{EndpointId, HostId, RouteId};
+use crate::id::{EndpointId, HostId, RegionId, RouteId};
 use crate::util::stable_hash;
 
 mod seat;
-mod work;
+pub mod work;
 
 
 pub use seat::{Outcome, Seat};
@@ -32,6 +32,8 @@
 pub struct Ask<'a> {
     /// Route, by which the work is learned
     pub route: &'a RouteId,
+    /// Region of the candidates
+    pub region: &'a RegionId,
     /// Object that the request concerns, where endpoints remember objects
     pub object: Option<u64>,
     /// Endpoints that must not be used again
@@ -55,7 +57,7 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     seats: BTreeMap<EndpointId, Seat>,
-    work: BTreeMap<RouteId, Work>,
+    work: BTreeMap<(RouteId, RegionId), Work>,
     reports: BTreeMap<HostId, Report>,
 }
 
@@ -111,7 +113,7 @@
             .collect();
         ranked.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
         let default = Work::default();
-        let work = self.work.get(ask.route).unwrap_or(&default);
+        let work = self.work(ask.route, ask.region).unwrap_or(&default);
         let mut best: Option<(f64, Choice)> = None;
         for (rank, (_, end)) in ranked.iter().enumerate() {
             let (wait, time) = self.expect(now, ask, work, end, rank);
@@ -139,17 +141,18 @@
     pub fn finish(
         &mut self,
         now: Instant,
-        id: &EndpointId,
+        end: &Endpoint,
         route: &RouteId,
         rank: Option<usize>,
         begun: Instant,
         outcome: Outcome,
     ) {
-        let seat = self.seats.entry(id.clone()).or_default();
+        let seat = self.seats.entry(end.id.clone()).or_default();
         let crowded = seat.crowded();
         seat.finish(now, begun, outcome);
         if let Outcome::Served(took) = outcome {
-            let work = self.work.entry(route.clone()).or_default();
+            let key = (route.clone(), end.region.clone());
+            let work = self.work.entry(key).or_default();
             seat.pace(now, took.as_secs_f64() / work.mean());
             work.learn(took, rank, crowded);
         }
@@ -187,21 +190,9 @@
         }
     }
 
-    /// Mean time of a route's requests at an endpoint
-    pub fn mean(&self, route: &RouteId) -> Duration {
-        let mean = self.work.get(route).map_or(work::GUESS, Work::mean);
-        Duration::from_secs_f64(mean)
-    }
-
-    /// Time of a route's requests at an endpoint that does not know the object
-    pub fn longest(&self, route: &RouteId) -> Duration {
-        let cold = self.work.get(route).map_or(work::GUESS, Work::cold);
-        Duration::from_secs_f64(cold)
-    }
-
-    /// What is known of a route's work
-    pub fn work(&self, route: &RouteId) -> Option<&Work> {
-        self.work.get(route)
+    /// What is known of a route's work in a region
+    pub fn work(&self, route: &RouteId, region: &RegionId) -> Option<&Work> {
+        self.work.get(&(route.clone(), region.clone()))
     }
 
     fn score(&self, ask: &Ask<'_>, end: &Endpoint) -> u64 {
--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Answers that were learned from
+    pub fn seen(&self) -> u32 {
+        self.seen
+    }
+
     /// Mean time of all requests, in seconds
     pub fn mean(&self) -> f64 {
         self.mean
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -12,11 +12,18 @@
 
 
 /// Part of its slots that a region uses before it sends traffic away; leaves a queue short
-pub const HOME_USE: f64 = 0.6;
+pub const HOME_USE: f64 = 0.55;
 
 /// Part of the traffic that may move within a second; the platform allows 0.15 in two seconds
 pub const PACE: f64 = 0.045;
 
+/// Requests by which counts may stray from the shares, on each host
+pub const SLACK: f64 = 3.0;
+
+/// Expected time, in seconds, that one request of credit is worth; some of the usual gain by a
+/// remembered object
+const PRICE: f64 = 0.06;
+
 /// Least time between two steps
 const STEP: Duration = Duration::from_millis(100);
 
@@ -134,22 +141,33 @@
         self.shares = next.filter(|(_, share)| *share > 1e-6).collect();
     }
 
-    /// Region of the next request
+    /// Region of the next request, by expected cost in seconds; `None` cost means not possible
     ///
-    /// Credits accumulate, so counts follow the shares to within one request. Independent draws
-    /// would move by more than the cap in windows of a few dozen requests.
-    pub fn pick(&mut self) -> Option<RegionId> {
+    /// Counts follow the shares to within [`SLACK`] requests, so that no window of a few dozen
+    /// requests shows a jump. Within that slack the cheaper region is taken: a region whose
+    /// endpoints remember the object, and have room.
+    pub fn pick(&mut self, cost: impl Fn(&RegionId) -> Option<f64>) -> Option<RegionId> {
         self.credit
             .retain(|region, _| self.shares.contains_key(region));
         for (region, share) in &self.shares {
             *self.credit.entry(region.clone()).or_default() += share;
         }
-        let most = self
-            .credit
-            .iter()
-            .max_by(|(_, a), (_, b)| a.total_cmp(b))
-            .map(|(region, _)| region.clone())?;
-        *self.credit.entry(most.clone()).or_default() -= 1.0;
-        Some(most)
+        let credit = |region: &RegionId| self.credit.get(region).copied().unwrap_or(0.0);
+        let owed = self.shares.keys().filter(|region| credit(region) >= SLACK);
+        let owed: Vec<&RegionId> = owed.filter(|region| cost(region).is_some()).collect();
+        let open = |region: &&RegionId| match owed.is_empty() {
+            true => credit(region) > 1.0 - SLACK,
+            false => owed.contains(region),
+        };
+        let priced = |region: &RegionId| Some(cost(region)? - PRICE * credit(region));
+        let best = self
+            .shares
+            .keys()
+            .filter(open)
+            .filter_map(|region| Some((priced(region)?, region)))
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, region)| region.clone())?;
+        *self.credit.entry(best.clone()).or_default() -= 1.0;
+        Some(best)
     }
 }
