Keep each object on a few homes and learn only from uncrowded answers

Cause: under load every endpoint came to serve every object cold: busy homes spilled to cold endpoints, whose slow answers pushed objects out, and times that held queueing made warm endpoints look cold.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -98,11 +98,12 @@
     let time = waits.or(route.timeout).unwrap_or(DEFAULT_TIME);
     let deadline = arrived + time;
     let until = route.timeout.map_or(deadline, |limit| deadline.min(arrived + limit));
-    gateway.count_request(arrived, &service);
+    let object = header::object(&request.headers).filter(|_| route.affinity);
+    gateway.count_request(arrived, &service, object);
     Ok(Journey {
         gateway,
         request,
-        object: header::object(&request.headers).filter(|_| route.affinity),
+        object,
         route,
         service,
         key,
@@ -199,6 +200,7 @@
                 route: &self.route.name,
                 region,
                 object: self.object,
+                homes: gateway.homes(&self.service, ends.len()),
                 avoid: &avoid,
             };
             let choice = pool.choose(now, &ask, ends.into_iter())?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 use crate::catalog::Catalog;
 use crate::fleet::Fleet;
 use crate::id::{EndpointId, Incarnation, RegionId, ServiceId};
-use crate::placement::{Pool, Recent, work};
+use crate::placement::{Objects, Pool, Recent, work};
 use crate::policy::Document;
 use crate::quarantine;
 use crate::region::{self, Ramp, Room, Shares};
@@ -72,6 +72,7 @@
     pub metrics: Metrics,
     ramps: RefCell<BTreeMap<ServiceId, Ramp>>,
     retries: RefCell<BTreeMap<ServiceId, Window>>,
+    objects: RefCell<BTreeMap<ServiceId, Objects>>,
     arrivals: RefCell<BTreeMap<ServiceId, Recent>>,
     chills: RefCell<BTreeMap<EndpointId, cold::Tokens>>,
     stopping: Cell<bool>,
@@ -97,6 +98,7 @@
             metrics: Metrics::new(),
             ramps: RefCell::default(),
             retries: RefCell::default(),
+            objects: RefCell::default(),
             arrivals: RefCell::default(),
             chills: RefCell::default(),
             stopping: Cell::new(false),
@@ -148,13 +150,29 @@
     }
 
     /// Count a request for a service
-    fn count_request(&self, now: Instant, service: &ServiceId) {
+    fn count_request(&self, now: Instant, service: &ServiceId, object: Option<u64>) {
+        if let Some(object) = object {
+            let mut objects = self.objects.borrow_mut();
+            objects.entry(service.clone()).or_default().add(now, object);
+        }
         let mut retries = self.retries.borrow_mut();
         retries.entry(service.clone()).or_default().request(now);
         let mut arrivals = self.arrivals.borrow_mut();
         arrivals.entry(service.clone()).or_default().add(now);
     }
 
+    /// Endpoints among which each object of a service is kept, of so many
+    fn homes(&self, service: &ServiceId, endpoints: usize) -> usize {
+        let mut objects = self.objects.borrow_mut();
+        objects.entry(service.clone()).or_default().homes(endpoints)
+    }
+
+    /// Forget objects that nobody asked for lately
+    fn expire_objects(&self, now: Instant) {
+        let mut objects = self.objects.borrow_mut();
+        objects.values_mut().for_each(|objects| objects.expire(now));
+    }
+
     /// Whether a second attempt fits into the fleet's budget; counts it if so
     fn allow_retry(&self, now: Instant, service: &ServiceId) -> bool {
         let hosts = self.fleet.borrow().size();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,6 +23,9 @@
 /// Time between two reports of demand to hosts of other regions
 const DEMAND: Duration = Duration::from_millis(1000);
 
+/// Fleet in which load is told to all hosts
+const SMALL: usize = 24;
+
 /// Hosts of other regions that hear of the demand each time
 const FAR: usize = 4;
 
@@ -64,7 +67,7 @@
         }
         let now = Instant::now();
         gateway.fleet.borrow_mut().hear(now, &report);
-        if report.region == gateway.settings.borrow().region {
+        if !report.running.is_empty() || report.region == gateway.settings.borrow().region {
             let mut pool = gateway.pool.borrow_mut();
             pool.heard(now, report.host.clone(), report.running.clone());
         }
@@ -102,15 +105,17 @@
     }
 }
 
-/// Tell hosts of the region what runs here, often
+/// Tell hosts of the region what runs here, often; in a small fleet all hosts
 pub async fn tell_near(gateway: Rc<Gateway>, socket: UdpSocket) {
     loop {
         let own = gateway.settings.borrow().clone();
+        let small = gateway.fleet.borrow().size() <= SMALL;
         let near: Vec<SocketAddr> = gateway
             .fleet
             .borrow()
             .members()
-            .filter(|member| member.region == own.region && member.host != own.host)
+            .filter(|member| small || member.region == own.region)
+            .filter(|member| member.host != own.host)
             .map(|member| member.peer)
             .collect();
         Timer::after(LOAD + LOAD_EACH * near.len() as u32).await;
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -28,6 +28,7 @@
         }
         gateway.idle.borrow_mut().expire(now);
         gateway.expire_chills(now);
+        gateway.expire_objects(now);
         gateway.quarantine.borrow_mut().expire(now);
         let due = gateway.pool.borrow_mut().due(now);
         for id in due {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -27,6 +27,16 @@
 /// Age up to which an endpoint's own load header counts; about the time of one request
 const LOAD_TERM: Duration = Duration::from_millis(250);
 
+/// Objects that an endpoint is taken to remember; endpoints do not say, and to guess low costs
+/// little, since a few homes balance well
+const REMEMBERED: f64 = 9.0;
+
+/// Most objects that are counted for a service
+const MOST_OBJECTS: usize = 20_000;
+
+/// Time after which an object counts no more; long enough to see a rare one again
+const OBJECT_TERM: Duration = Duration::from_secs(20);
+
 /// What a request asks of the pool
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
@@ -36,6 +46,8 @@
     pub region: &'a RegionId,
     /// Object that the request concerns, where endpoints remember objects
     pub object: Option<u64>,
+    /// Endpoints among which the object is kept
+    pub homes: usize,
     /// Endpoints that must not be used again
     pub avoid: &'a [EndpointId],
 }
@@ -112,6 +124,11 @@
             .map(|end| (self.score(ask, end), end))
             .collect();
         ranked.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
+        if ask.object.is_some() {
+            // Beyond its homes an object would push others out of the endpoints' memory. Under load
+            // all would then be slow everywhere, and stay so.
+            ranked.truncate(ask.homes.max(1));
+        }
         let default = Work::default();
         let work = self.work(ask.route, ask.region).unwrap_or(&default);
         let mut best: Option<(f64, Choice)> = None;
@@ -147,8 +164,11 @@
         begun: Instant,
         outcome: Outcome,
     ) {
+        let others = self.reported(now, &end.id);
         let seat = self.seats.entry(end.id.clone()).or_default();
-        let crowded = seat.crowded();
+        let told = seat.load.filter(|(at, _)| now < *at + LOAD_TERM);
+        let load = told.map_or(seat.running() + others, |(_, load)| load + 1);
+        let crowded = load > end.slots;
         seat.finish(now, begun, outcome);
         if let Outcome::Served(took) = outcome {
             let key = (route.clone(), end.region.clone());
@@ -228,15 +248,20 @@
     fn load(&self, now: Instant, end: &Endpoint) -> u32 {
         let seat = self.seats.get(&end.id);
         let own = seat.map_or(0, Seat::running);
-        let short = short(&end.id);
-        let fresh = self.reports.values();
-        let fresh = fresh.filter(|report| now < report.at + REPORT_TERM);
-        let others: u32 = fresh.filter_map(|report| report.running.get(&short)).sum();
+        let others = self.reported(now, &end.id);
         let told = seat.and_then(|seat| seat.load);
         let told = told.filter(|(at, _)| now < *at + LOAD_TERM);
         (own + others).max(told.map_or(0, |(_, load)| load))
     }
 
+    /// Requests of other hosts at an endpoint
+    fn reported(&self, now: Instant, id: &EndpointId) -> u32 {
+        let short = short(id);
+        let fresh = self.reports.values();
+        let fresh = fresh.filter(|report| now < report.at + REPORT_TERM);
+        fresh.filter_map(|report| report.running.get(&short)).sum()
+    }
+
     /// Extra cost of an endpoint that fails or hangs, in seconds
     fn penalty(&self, now: Instant, end: &Endpoint, work: &Work) -> f64 {
         let Some(seat) = self.seats.get(&end.id) else {
@@ -247,6 +272,33 @@
     }
 }
 
+/// Objects that requests concerned lately
+#[derive(Clone, Debug, Default)]
+pub struct Objects(BTreeMap<u64, Instant>);
+
+impl Objects {
+    /// A request concerns an object
+    pub fn add(&mut self, now: Instant, object: u64) {
+        if self.0.len() >= MOST_OBJECTS {
+            self.expire(now);
+        }
+        if self.0.len() < MOST_OBJECTS {
+            self.0.insert(object, now);
+        }
+    }
+
+    /// Endpoints among which each object is kept, where so many may hold them
+    pub fn homes(&mut self, endpoints: usize) -> usize {
+        let places = REMEMBERED * endpoints as f64;
+        (places / self.0.len().max(1) as f64) as usize
+    }
+
+    /// Forget objects that nobody asked for lately
+    pub fn expire(&mut self, now: Instant) {
+        self.0.retain(|_, at| now < *at + OBJECT_TERM);
+    }
+}
+
 /// Sliding count of events
 #[derive(Clone, Debug, Default)]
 pub struct Recent(VecDeque<Instant>);
--- a/src/placement/seat.rs
+++ b/src/placement/seat.rs
@@ -64,11 +64,6 @@
         self.running.len() as u32
     }
 
-    /// Whether more than a few requests of this host ran at once
-    pub fn crowded(&self) -> bool {
-        self.running.len() > 2
-    }
-
     /// Age of the oldest request there
     pub fn oldest(&self, now: Instant) -> Duration {
         let oldest = self.running.front();
--- a/src/placement/work.rs
+++ b/src/placement/work.rs
@@ -40,18 +40,22 @@
 }
 
 impl Work {
-    /// Learn from one answer; a request that met a full endpoint says little about its own work
+    /// Learn from one answer
+    ///
+    /// `crowded` says that it may have waited at the endpoint. Such a time says little about the
+    /// work itself, unless it is short all the same; learning from it would make endpoints that
+    /// remember the object look like ones that do not, just when that matters most.
     pub fn learn(&mut self, took: Duration, rank: Option<usize>, crowded: bool) {
         let took = took.as_secs_f64().max(1e-4);
         if self.seen == 0 {
             (self.warm, self.cold, self.mean) = (took * 0.6, took, took);
         }
+        if crowded && took > self.mean {
+            return;
+        }
         self.seen = self.seen.saturating_add(1);
         let gain = GAIN.max(1.0 / f64::from(self.seen));
         self.mean += (took - self.mean) * gain;
-        if crowded {
-            return;
-        }
         let split = (self.warm * self.cold).sqrt();
         let is_warm = took < split;
         let side = if is_warm {
