Let two hosts a region read the store, and keep objects to one region

Two readers a region now follow the store; the others follow them by the same questions, and go on to the next reader and to the store when one fails.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,8 +1,9 @@
 //! Upstream endpoints as the platform's store lists them.
 //!
 //! Load pattern: endpoints come, drain, crash and return while the store is dark. An entry that is
-//! withdrawn ends at once, except around an outage of the store: entries that lapsed meanwhile come
-//! back within [`LAPSE`] if their endpoints live, so until then they stay usable.
+//! withdrawn ends at once, except after an outage of the store: many entries lapsed then together and
+//! come back within [`LAPSE`] if their endpoints live, so until then they stay usable. That this host
+//! was cut off for itself gives no such term: the others saw the entries go for a reason.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -12,7 +13,6 @@
 
 use crate::id::{EndpointId, RegionId, ServiceId, ZoneId};
 
-
 /// Time after an outage of the store in which a lapsed entry may come back; the platform states
 /// about two seconds
 pub const LAPSE: Duration = Duration::from_secs(2);
@@ -72,11 +72,6 @@
         Self::default()
     }
 
-    /// The store is back after an outage
-    pub fn recovered(&mut self, now: Instant) {
-        self.grace = Some(now + LAPSE);
-    }
-
     /// Take the whole list of a fresh read
     pub fn replace(&mut self, now: Instant, list: Vec<Endpoint>) -> Vec<EndpointId> {
         let present: BTreeSet<EndpointId> = list.iter().map(|end| end.id.clone()).collect();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,16 +13,17 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
 use crate::id::{HostId, Incarnation, RegionId, ServiceId, ZoneId};
 use crate::util::stable_hash;
 
-
 /// Successors on the ring that a host watches; enough that neighbours rarely fail together
 pub const WATCHED: usize = 4;
 
+/// Hosts of a region that follow the store itself; two, so that one may fail unnoticed
+pub const READERS: usize = 2;
+
 /// Time between two pings to a watched host
 pub const PING: Duration = Duration::from_millis(500);
 
@@ -45,6 +46,8 @@
     pub caller: SocketAddr,
     /// UDP address for other hosts
     pub peer: SocketAddr,
+    /// TCP address where other hosts may follow what this one knows of the store
+    pub control: Option<SocketAddr>,
     /// Random number of this run of the process
     pub incarnation: Incarnation,
     /// Requests that it can carry, relative to other hosts
@@ -146,6 +149,23 @@
         ring.into_iter().map(|(_, member)| member).collect()
     }
 
+    /// Hosts of a region that follow the store itself; the others follow them
+    ///
+    /// The store counts each waiting watch, so their number must not grow with the fleet.
+    pub fn readers(&self, region: &str) -> Vec<&Member> {
+        let near = self
+            .members
+            .values()
+            .filter(|member| member.region == region);
+        let mut scored: Vec<(u64, &Member)> = near
+            .filter(|member| member.control.is_some())
+            .map(|member| (stable_hash(&("reader", &member.host)), member))
+            .collect();
+        scored.sort_by(|(a, one), (b, other)| a.cmp(b).then(one.host.cmp(&other.host)));
+        scored.truncate(READERS);
+        scored.into_iter().map(|(_, member)| member).collect()
+    }
+
     /// A datagram of a host came
     pub fn hear(&mut self, now: Instant, report: &Report) {
         self.heard.insert(report.host.clone(), now);
@@ -232,18 +252,3 @@
         keyed.into_iter().map(|(_, member)| member.caller).collect()
     }
 }
-
-/// Encode a report for a datagram
-pub fn encode(report: &Report) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_stdvec(report)
-}
-
-/// Decode a datagram
-pub fn decode(bytes: &[u8]) -> Result<Report, postcard::Error> {
-    postcard::from_bytes(bytes)
-}
-
-/// Name of a host in a log line
-pub fn names(members: &[Member]) -> Vec<CompactString> {
-    members.iter().map(|member| member.host.clone()).collect()
-}
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -206,7 +206,11 @@
             answer(&gateway, &shared, turn, &request, reply, !keep).await;
         });
         self.tasks.push(task);
-        if keep { Next::More } else { self.finish().await }
+        if keep {
+            Next::More
+        } else {
+            self.finish().await
+        }
     }
 
     /// Run a request whose body streams
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -57,7 +57,9 @@
             return false;
         }
         let fleet = self.fleet.borrow();
-        let near = fleet.members().filter(|member| member.region == endpoint.region);
+        let near = fleet
+            .members()
+            .filter(|member| member.region == endpoint.region);
         let users = users(&endpoint.id, near.map(|member| &member.host));
         if !users.is_empty() && !users.contains(&&settings.host) {
             return false;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -117,7 +117,14 @@
         }
         let mut pool = self.gateway.pool.borrow_mut();
         let now = Instant::now();
-        pool.finish(now, &self.endpoint, &self.route, self.rank, self.begun, outcome);
+        pool.finish(
+            now,
+            &self.endpoint,
+            &self.route,
+            self.rank,
+            self.begun,
+            outcome,
+        );
     }
 
     fn served(&mut self, status: u16) {
@@ -240,7 +247,9 @@
     let uploaded = std::cell::Cell::new(false);
     let mut out = connection.writer();
     let sending = async {
-        connection_write(&mut out, &head).await.map_err(|e| broken(&e))?;
+        connection_write(&mut out, &head)
+            .await
+            .map_err(|e| broken(&e))?;
         if let Upload::Stream { .. } = upload {
             let sent = upload.send(&mut out).await;
             sent.map_err(|unsent| match unsent {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -73,7 +73,10 @@
     arrived: Instant,
 ) -> Result<Journey<'a>, Refusal> {
     let Some(document) = gateway.document() else {
-        return Err(Refusal::not_run("no configuration", Duration::from_millis(500)));
+        return Err(Refusal::not_run(
+            "no configuration",
+            Duration::from_millis(500),
+        ));
     };
     let host = request.headers.get("host").unwrap_or_default();
     let Some(route) = document.route(host, request.path()) else {
@@ -97,9 +100,11 @@
     let waits = header::deadline(&request.headers);
     let time = waits.or(route.timeout).unwrap_or(DEFAULT_TIME);
     let deadline = arrived + time;
-    let until = route.timeout.map_or(deadline, |limit| deadline.min(arrived + limit));
+    let until = route
+        .timeout
+        .map_or(deadline, |limit| deadline.min(arrived + limit));
     let object = header::object(&request.headers).filter(|_| route.affinity);
-    gateway.count_request(arrived, &service, object);
+    gateway.count_request(arrived, &service);
     Ok(Journey {
         gateway,
         request,
@@ -159,11 +164,13 @@
         let picked = match &self.region {
             Some(region) if found.contains_key(region) => Some(region.clone()),
             Some(_) => None,
-            None => self.gateway.pick_region(now, &self.service, |region| {
-                let choice: &Choice = found.get(region)?;
-                let far = if *region == self.home { 0.0 } else { FAR };
-                Some(choice.time.as_secs_f64() + far)
-            }),
+            None => self
+                .gateway
+                .pick_region(now, &self.service, self.object, |region| {
+                    let choice: &Choice = found.get(region)?;
+                    let far = if *region == self.home { 0.0 } else { FAR };
+                    Some(choice.time.as_secs_f64() + far)
+                }),
         };
         let nearest = || {
             let best = found.iter().min_by_key(|(_, choice)| choice.time);
@@ -186,7 +193,10 @@
         let catalog = gateway.catalog.borrow();
         let pool = gateway.pool.borrow();
         let avoid = gateway.quarantine.borrow().avoid(self.key);
-        let avoid: Vec<EndpointId> = avoid.into_iter().chain(self.tried.iter().cloned()).collect();
+        let avoid: Vec<EndpointId> = avoid
+            .into_iter()
+            .chain(self.tried.iter().cloned())
+            .collect();
         let allowed = &self.route.regions;
         let mut regions: BTreeMap<&RegionId, Vec<&Endpoint>> = BTreeMap::new();
         for end in catalog.usable(&self.service) {
@@ -200,7 +210,7 @@
                 route: &self.route.name,
                 region,
                 object: self.object,
-                homes: gateway.homes(&self.service, ends.len()),
+                homes: gateway.homes(&self.service, region, ends.len()),
                 avoid: &avoid,
             };
             let choice = pool.choose(now, &ask, ends.into_iter())?;
@@ -241,12 +251,7 @@
             idempotent: self.is_idempotent(),
         };
         let rank = self.object.map(|_| choice.rank);
-        let place = Place::new(
-            self.gateway,
-            endpoint,
-            self.route.name.clone(),
-            rank,
-        );
+        let place = Place::new(self.gateway, endpoint, self.route.name.clone(), rank);
         self.gateway.quarantine.borrow_mut().start(self.key, &id);
         let result = exchange::run(self.gateway, place, self.request, upload, limits).await;
         self.gateway.quarantine.borrow_mut().end(self.key, &id);
--- a/src/gateway/idle.rs
+++ b/src/gateway/idle.rs
@@ -51,12 +51,7 @@
     }
 
     /// Newest connection that was idle for at most `age`
-    pub fn take(
-        &mut self,
-        now: Instant,
-        address: SocketAddr,
-        age: Duration,
-    ) -> Option<Connection> {
+    pub fn take(&mut self, now: Instant, address: SocketAddr, age: Duration) -> Option<Connection> {
         let kept = self.0.get_mut(&address)?;
         let last = kept.pop_back()?;
         if now < last.until && now <= last.since + age {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -12,9 +12,7 @@
 use crate::platform::store::Kind;
 
 /// Bounds of the latency histogram, in seconds
-const LATENCIES: [f64; 12] = [
-    0.01, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0,
-];
+const LATENCIES: [f64; 12] = [0.01, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0];
 
 /// Recording functions and the exporter behind them
 #[derive(Debug)]
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,7 +39,6 @@
 mod upload;
 mod watch;
 
-
 pub use metrics::Metrics;
 pub use mirror::Mirror;
 pub use record::Recorder;
@@ -72,7 +71,7 @@
     pub metrics: Metrics,
     ramps: RefCell<BTreeMap<ServiceId, Ramp>>,
     retries: RefCell<BTreeMap<ServiceId, Window>>,
-    objects: RefCell<BTreeMap<ServiceId, Objects>>,
+    objects: RefCell<BTreeMap<(ServiceId, RegionId), Objects>>,
     arrivals: RefCell<BTreeMap<ServiceId, Recent>>,
     chills: RefCell<BTreeMap<EndpointId, cold::Tokens>>,
     stopping: Cell<bool>,
@@ -150,11 +149,7 @@
     }
 
     /// Count a request for a service
-    fn count_request(&self, now: Instant, service: &ServiceId, object: Option<u64>) {
-        if let Some(object) = object {
-            let mut objects = self.objects.borrow_mut();
-            objects.entry(service.clone()).or_default().add(now, object);
-        }
+    fn count_request(&self, now: Instant, service: &ServiceId) {
         let mut retries = self.retries.borrow_mut();
         retries.entry(service.clone()).or_default().request(now);
         let mut arrivals = self.arrivals.borrow_mut();
@@ -162,9 +157,10 @@
     }
 
     /// Endpoints among which each object of a service is kept, of so many
-    fn homes(&self, service: &ServiceId, endpoints: usize) -> usize {
-        let mut objects = self.objects.borrow_mut();
-        objects.entry(service.clone()).or_default().homes(endpoints)
+    fn homes(&self, service: &ServiceId, region: &RegionId, endpoints: usize) -> usize {
+        let objects = self.objects.borrow();
+        let objects = objects.get(&(service.clone(), region.clone()));
+        objects.map_or(1, |objects| objects.homes(endpoints))
     }
 
     /// Forget objects that nobody asked for lately
@@ -215,6 +211,7 @@
         &self,
         now: Instant,
         service: &ServiceId,
+        object: Option<u64>,
         cost: impl Fn(&RegionId) -> Option<f64>,
     ) -> Option<RegionId> {
         let home = self.settings.borrow().region.clone();
@@ -224,13 +221,30 @@
         let ramp = ramps.entry(service.clone()).or_default();
         let usable = |region: &RegionId| rooms.get(region).is_some_and(|room| room.slots > 0.0);
         ramp.step(now, &target, usable);
-        ramp.pick(cost)
+        let keeper = object.and_then(|object| ramp.keeper(object)).cloned();
+        let strange = |region: &RegionId| keeper.as_ref().is_some_and(|keeper| keeper != region);
+        let extra = |region: &RegionId| {
+            if strange(region) {
+                region::STRANGE
+            } else {
+                0.0
+            }
+        };
+        let picked = ramp.pick(|region| Some(cost(region)? + extra(region)))?;
+        if let Some(object) = object {
+            let mut objects = self.objects.borrow_mut();
+            let key = (service.clone(), picked.clone());
+            objects.entry(key).or_default().add(now, object);
+        }
+        Some(picked)
     }
 
     /// Shares in force by service
     pub fn shares(&self) -> BTreeMap<ServiceId, Shares> {
         let ramps = self.ramps.borrow();
-        let shares = ramps.iter().map(|(name, ramp)| (name.clone(), ramp.shares().clone()));
+        let shares = ramps
+            .iter()
+            .map(|(name, ramp)| (name.clone(), ramp.shares().clone()));
         shares.collect()
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,7 +10,7 @@
 use smol::net::UdpSocket;
 
 use super::Gateway;
-use crate::fleet::{self, Member, PING, Report};
+use crate::fleet::{Member, PING, Report};
 use crate::platform::record;
 use crate::platform::store::{Error, Kind, Session};
 
@@ -42,11 +42,7 @@
 const BEHIND: Duration = Duration::from_millis(400);
 
 /// Read datagrams for ever
-pub async fn listen(
-    gateway: Rc<Gateway>,
-    socket: UdpSocket,
-    kicks: BTreeMap<Kind, Sender<()>>,
-) {
+pub async fn listen(gateway: Rc<Gateway>, socket: UdpSocket, kicks: BTreeMap<Kind, Sender<()>>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
     let mut behind: BTreeMap<Kind, Instant> = BTreeMap::new();
     loop {
@@ -179,10 +175,7 @@
     }
 }
 
-fn encode(
-    report: &Report,
-    revisions: &BTreeMap<Kind, u64>,
-) -> Result<Vec<u8>, postcard::Error> {
+fn encode(report: &Report, revisions: &BTreeMap<Kind, u64>) -> Result<Vec<u8>, postcard::Error> {
     postcard::to_stdvec(&(report, revisions))
 }
 
@@ -217,22 +210,34 @@
             withdraw(&gateway, &mut session, &member).await;
             last = Instant::now();
         }
-        gateway.metrics.store_calls(Kind::Hosts, session.take_calls());
+        gateway
+            .metrics
+            .store_calls(Kind::Hosts, session.take_calls());
     }
 }
 
 async fn enter(gateway: &Gateway, session: &mut Session) -> Result<(), Error> {
     let own = member(gateway);
     let current = gateway.fleet.borrow().own().cloned();
-    let same = |listed: &Member| Member {
-        revision: listed.revision,
-        ..own.clone()
-    } == *listed;
+    let same = |listed: &Member| {
+        Member {
+            revision: listed.revision,
+            ..own.clone()
+        } == *listed
+    };
     if current.as_ref().is_some_and(same) {
         return Ok(());
     }
     let spec = record::from_member(&own);
-    session.put(Kind::Hosts, &own.host, &spec).await?;
+    let written = match current {
+        Some(_) => session.replace(Kind::Hosts, &own.host, &spec).await,
+        None => session.create(Kind::Hosts, &own.host, &spec).await,
+    };
+    match written {
+        Err(Error::Conflict) => session.replace(Kind::Hosts, &own.host, &spec).await?,
+        Err(Error::Missing) => session.create(Kind::Hosts, &own.host, &spec).await?,
+        written => written?,
+    }
     // Until the watch tells the revision, a further write would be the same.
     gateway.fleet.borrow_mut().put(own);
     gateway.recorder.event("registered", &[]);
@@ -247,6 +252,7 @@
         region: settings.region.clone(),
         caller: settings.caller,
         peer: settings.peer,
+        control: settings.control,
         incarnation: gateway.incarnation,
         weight: settings.weight,
         revision: 0,
@@ -285,8 +291,3 @@
         Timer::after(CHECK).await;
     }
 }
-
-/// Largest datagram to expect for a fleet's region, checked by a test
-pub fn size(report: &Report) -> Result<usize, postcard::Error> {
-    fleet::encode(report).map(|bytes| bytes.len())
-}
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -36,7 +36,9 @@
             match known {
                 Some(endpoint) => {
                     let prober = gateway.clone();
-                    gateway.spawn(async move { ask(&prober, &endpoint).await }).detach();
+                    gateway
+                        .spawn(async move { ask(&prober, &endpoint).await })
+                        .detach();
                 }
                 None => gateway.pool.borrow_mut().forget(&id),
             }
@@ -60,13 +62,19 @@
 
 async fn check(gateway: &Gateway, endpoint: &Endpoint) -> bool {
     let document = gateway.document();
-    let service = document.as_ref().and_then(|d| d.services.get(&endpoint.service));
+    let service = document
+        .as_ref()
+        .and_then(|d| d.services.get(&endpoint.service));
     let path = service.map_or("/", |service| service.health_path.as_str());
     let Ok(mut connection) = Connection::connect(endpoint.address, LIMIT).await else {
         return false;
     };
     let head = header::health_check(path, endpoint.address);
-    if connection.write(head.as_bytes(), Instant::now() + LIMIT).await.is_err() {
+    if connection
+        .write(head.as_bytes(), Instant::now() + LIMIT)
+        .await
+        .is_err()
+    {
         return false;
     }
     let Ok(answer) = connection.answer("GET").await else {
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -81,10 +81,14 @@
     /// Tell how a request ended
     pub fn request(&self, line: &Line<'_>) {
         let failed = line.status >= 400;
-        if !self.0.borrow_mut().allows(Instant::now(), |budget| match failed {
-            true => (&mut budget.failed, FAILED_LINES),
-            false => (&mut budget.served, SERVED_LINES),
-        }) {
+        if !self
+            .0
+            .borrow_mut()
+            .allows(Instant::now(), |budget| match failed {
+                true => (&mut budget.failed, FAILED_LINES),
+                false => (&mut budget.served, SERVED_LINES),
+            })
+        {
             return;
         }
         let text = json!({
@@ -121,11 +125,7 @@
 }
 
 impl Budget {
-    fn allows(
-        &mut self,
-        now: Instant,
-        select: impl FnOnce(&mut Self) -> (&mut u32, u32),
-    ) -> bool {
+    fn allows(&mut self, now: Instant, select: impl FnOnce(&mut Self) -> (&mut u32, u32)) -> bool {
         if now >= self.since + SECOND {
             if self.left_out > 0 {
                 let text = json!({ "event": "left-out", "lines": self.left_out });
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,6 +15,7 @@
 use smol::stream::StreamExt;
 use smol::{LocalExecutor, Timer};
 
+use super::ports::Port;
 use super::{Gateway, accept, peers, ports, probe, record, stop, watch};
 use crate::error::Error;
 use crate::platform::node;
@@ -58,14 +59,14 @@
     let metrics = SocketAddr::new(settings.caller.ip(), options.metrics);
     let callers = bind(settings.caller).await?;
     let mut listeners = vec![
-        (bind(settings.ready).await?, ports::front as fn(&_, &_, &_) -> _),
-        (bind(metrics).await?, ports::operator),
+        (bind(settings.ready).await?, Port::Front),
+        (bind(metrics).await?, Port::Operator),
     ];
     if let Some(address) = settings.directory {
-        listeners.push((bind(address).await?, ports::front));
+        listeners.push((bind(address).await?, Port::Front));
     }
     if let Some(address) = settings.control {
-        listeners.push((bind(address).await?, ports::control));
+        listeners.push((bind(address).await?, Port::Control));
     }
     let socket = UdpSocket::bind(settings.peer).await;
     let socket = socket.map_err(|error| unavailable(settings.peer, &error))?;
@@ -74,12 +75,18 @@
     let gateway = Rc::new(Gateway::new(settings, executor));
     let fields = [("host", gateway.settings.borrow().host.as_str().into())];
     gateway.recorder.event("started", &fields);
-    for (listener, answer) in listeners {
-        gateway.spawn(ports::serve(gateway.clone(), listener, answer)).detach();
+    for (listener, port) in listeners {
+        gateway
+            .spawn(ports::serve(gateway.clone(), listener, port))
+            .detach();
     }
     follow(&gateway, &socket);
-    gateway.spawn(peers::tell_near(gateway.clone(), socket.clone())).detach();
-    gateway.spawn(peers::tell_far(gateway.clone(), socket)).detach();
+    gateway
+        .spawn(peers::tell_near(gateway.clone(), socket.clone()))
+        .detach();
+    gateway
+        .spawn(peers::tell_far(gateway.clone(), socket))
+        .detach();
     gateway.spawn(peers::register(gateway.clone())).detach();
     gateway.spawn(probe::run(gateway.clone())).detach();
     gateway.spawn(watch::ask_others(gateway.clone())).detach();
@@ -95,9 +102,13 @@
     for kind in Kind::ALL {
         let (kick, kicked) = bounded(1);
         kicks.insert(kind, kick);
-        gateway.spawn(watch::follow(gateway.clone(), kind, kicked)).detach();
+        gateway
+            .spawn(watch::follow(gateway.clone(), kind, kicked))
+            .detach();
     }
-    gateway.spawn(peers::listen(gateway.clone(), socket.clone(), kicks)).detach();
+    gateway
+        .spawn(peers::listen(gateway.clone(), socket.clone(), kicks))
+        .detach();
 }
 
 /// Wait for SIGTERM or SIGINT; settings are read again on SIGHUP and when the file changed
@@ -139,7 +150,9 @@
         ..fresh
     };
     drop(settings);
-    gateway.recorder.event("settings-read", &[("told", told.into())]);
+    gateway
+        .recorder
+        .event("settings-read", &[("told", told.into())]);
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
@@ -148,7 +161,9 @@
 }
 
 fn unavailable(address: SocketAddr, error: &std::io::Error) -> Error {
-    Error::Unavailable(format!("cannot listen on {address}: {error}; free the address"))
+    Error::Unavailable(format!(
+        "cannot listen on {address}: {error}; free the address"
+    ))
 }
 
 /// Log to standard output through a queue and a thread, so that a slow reader blocks nothing
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -24,7 +24,9 @@
 pub async fn stop(gateway: &Rc<Gateway>, listening: Task<()>) {
     let begun = Instant::now();
     gateway.stopping.set(true);
-    gateway.recorder.event("stopping", &[("running", gateway.running.get().into())]);
+    gateway
+        .recorder
+        .event("stopping", &[("running", gateway.running.get().into())]);
     let grace = gateway.settings.borrow().grace;
     let leaver = gateway.clone();
     let leaving = gateway.spawn(async move { peers::leave(&leaver, begun + grace / 2).await });
@@ -38,5 +40,7 @@
         Timer::after(PAUSE).await;
     }
     drop(leaving);
-    gateway.recorder.event("stopped", &[("running", gateway.running.get().into())]);
+    gateway
+        .recorder
+        .event("stopped", &[("running", gateway.running.get().into())]);
 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -1,8 +1,9 @@
-//! Follows the store: one watch for each kind of object.
+//! Follows the store: one watch for each kind of object, at the store or at a host that reads it.
 //!
 //! A watch on a silent connection would show nothing for its whole wait, so other hosts' reports
 //! carry the revisions that they know; a host that is behind opens its watch anew.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -15,12 +16,20 @@
 use crate::object::Backoff;
 use crate::platform::record;
 use crate::platform::store::{Error, Event, Kind, Object, Session};
+use crate::util::stable_hash;
 
 /// Time for which a watch waits for a change; the store takes at most 30 s
 const WAIT: Duration = Duration::from_secs(10);
 
 /// Shortest and longest pause after a failed call; the configuration has two seconds to be in force
-const PAUSES: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
+const PAUSES: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(500));
+
+/// Pause after changes of kinds that change often; short against the seconds that a leaving
+/// endpoint still serves
+const BATCH: Duration = Duration::from_millis(150);
+
+/// Time after a failure at which the preferred source is tried again
+const PREFER: Duration = Duration::from_secs(4);
 
 /// Time after which a starting host that knows nothing asks other hosts
 const ASK: Duration = Duration::from_millis(600);
@@ -31,40 +40,104 @@
 /// Longest answer of another host, in bytes
 const MAX_MIRROR: usize = 8 << 20;
 
-/// Follow one kind for ever; a message on `kick` opens the watch anew
+/// Where a kind is read
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Source {
+    address: SocketAddr,
+    /// Whether it is the store itself
+    direct: bool,
+}
+
+/// Sources in the order in which they are tried
+///
+/// Two hosts of a region read the store and the others follow those. Who cannot reach one goes on
+/// to the next, so that in the end each host reads the store.
+fn sources(gateway: &Gateway) -> Vec<Source> {
+    let settings = gateway.settings.borrow();
+    let fleet = gateway.fleet.borrow();
+    let store = Source {
+        address: settings.store,
+        direct: true,
+    };
+    let readers = fleet.readers(&settings.region);
+    let reads = readers.iter().any(|member| member.host == settings.host);
+    let others = readers.iter().filter(|member| member.host != settings.host);
+    let mut sources: Vec<Source> = others
+        .filter_map(|member| member.control)
+        .map(|address| Source {
+            address,
+            direct: false,
+        })
+        .collect();
+    // Followers spread over the readers.
+    if stable_hash(&settings.host) % 2 == 1 {
+        sources.reverse();
+    }
+    match reads {
+        true => sources.insert(0, store),
+        false => sources.push(store),
+    }
+    sources
+}
+
+/// Progress of following one kind
+#[derive(Debug, Default)]
+struct Progress {
+    revision: Option<u64>,
+    /// Position in the list of sources
+    turn: usize,
+    /// Failures in a row
+    failures: usize,
+    failed: Option<Instant>,
+}
+
+/// Follow one kind for ever; a message on `kick` goes on to the next source
 pub async fn follow(gateway: Rc<Gateway>, kind: Kind, kick: Receiver<()>) {
     let mut session = Session::new(gateway.settings.borrow().store);
     let mut backoff = Backoff::new(PAUSES.0, PAUSES.1);
-    let mut revision = None;
+    let mut progress = Progress::default();
     loop {
-        session.redirect(gateway.settings.borrow().store);
-        let step = async { Some(step(&gateway, &mut session, kind, revision).await) };
+        let sources = sources(&gateway);
+        if progress.failed.is_some_and(|at| at.elapsed() > PREFER) {
+            progress.turn = 0;
+            progress.failed = None;
+        }
+        let source = sources[progress.turn % sources.len()];
+        session.redirect(source.address);
+        let step = async { Some(step(&gateway, &mut session, kind, &progress, source).await) };
         let kicked = async {
             // The sender lives as long as the process.
             let _ = kick.recv().await;
             None
         };
         let result = step.or(kicked).await;
-        gateway.metrics.store_calls(kind, session.take_calls());
+        if source.direct {
+            gateway.metrics.store_calls(kind, session.take_calls());
+        }
         match result {
             Some(Ok(next)) => {
                 backoff.succeeded();
-                revision = Some(next);
+                progress.failures = 0;
+                progress.revision = Some(next);
+                continue;
             }
             Some(Err(Error::Compacted)) => {
                 log::info!("{kind:?}: history is gone, reading anew");
-                revision = None;
+                progress.revision = None;
+                continue;
             }
             Some(Err(error)) => {
-                lost(&gateway, kind, &error);
-                session.reset();
-                Timer::after(backoff.failed(fastrand::f64())).await;
-            }
-            None => {
-                log::info!("{kind:?}: other hosts know more, opening the watch anew");
-                session.reset();
+                progress.failures += 1;
+                if progress.failures >= sources.len() {
+                    lost(&gateway, kind, &error);
+                    Timer::after(backoff.failed(fastrand::f64())).await;
+                }
             }
+            None => log::info!("{kind:?}: other hosts know more, going on to the next source"),
         }
+        session.reset();
+        progress.turn += 1;
+        progress.failed = Some(Instant::now());
     }
 }
 
@@ -72,11 +145,12 @@
     gateway: &Rc<Gateway>,
     session: &mut Session,
     kind: Kind,
-    revision: Option<u64>,
+    progress: &Progress,
+    source: Source,
 ) -> Result<u64, Error> {
-    let Some(revision) = revision else {
+    let Some(revision) = progress.revision else {
         let (objects, revision) = session.list(kind).await?;
-        regained(gateway, kind);
+        regained(gateway, kind, source);
         let now = Instant::now();
         let mut mirror = gateway.mirror.borrow_mut();
         mirror.replace(now, kind, objects.clone(), revision);
@@ -85,11 +159,16 @@
         return Ok(revision);
     };
     let (events, next) = session.watch(kind, revision, WAIT).await?;
-    regained(gateway, kind);
+    regained(gateway, kind, source);
+    gateway.mirror.borrow_mut().change(kind, &events, next);
+    let some = !events.is_empty();
     for event in events {
         change(gateway, kind, event);
     }
-    gateway.mirror.borrow_mut().advance(kind, next);
+    if some && source.direct && matches!(kind, Kind::Endpoints | Kind::Hosts) {
+        // Changes that come one after the other are read together.
+        Timer::after(BATCH).await;
+    }
     Ok(next)
 }
 
@@ -103,14 +182,12 @@
     }
 }
 
-fn regained(gateway: &Gateway, kind: Kind) {
+fn regained(gateway: &Gateway, kind: Kind, source: Source) {
     let now = Instant::now();
+    gateway.mirror.borrow_mut().set_direct(kind, source.direct);
     let Some(dark) = gateway.mirror.borrow_mut().fresh(now, kind) else {
         return;
     };
-    if kind == Kind::Endpoints {
-        gateway.catalog.borrow_mut().recovered(now);
-    }
     let fields = [
         ("kind", format!("{kind:?}").into()),
         ("dark_ms", (dark.as_millis() as u64).into()),
@@ -140,12 +217,6 @@
 
 /// Put one change in force
 fn change(gateway: &Gateway, kind: Kind, event: Event) {
-    let mut mirror = gateway.mirror.borrow_mut();
-    match &event {
-        Event::Put(object) => mirror.put(kind, object.clone()),
-        Event::Removed(name) => mirror.remove(kind, name),
-    }
-    drop(mirror);
     match (kind, event) {
         (Kind::Configuration, Event::Put(object)) => configure(gateway, &object),
         (Kind::Configuration, Event::Removed(name)) => {
@@ -187,7 +258,9 @@
     let Some(found) = found else {
         // An entry that was spoilt by another writer ends at once, like one that was withdrawn.
         catalog.remove(now, name);
-        gateway.recorder.event("endpoint-gone", &[("endpoint", name.as_str().into())]);
+        gateway
+            .recorder
+            .event("endpoint-gone", &[("endpoint", name.as_str().into())]);
         return;
     };
     let fields = [
@@ -214,13 +287,17 @@
     drop(mirror);
     let document = gateway.document();
     let warmup = |service: &crate::id::ServiceId| {
-        let known = document.as_ref().and_then(|document| document.services.get(service));
+        let known = document
+            .as_ref()
+            .and_then(|document| document.services.get(service));
         known.map_or(Duration::ZERO, |service| service.warmup)
     };
     let mut catalog = gateway.catalog.borrow_mut();
     if *catalog.evacuated() != zones {
         let names: Vec<&str> = zones.iter().map(|zone| zone.as_str()).collect();
-        gateway.recorder.event("evacuation", &[("zones", names.join(" ").into())]);
+        gateway
+            .recorder
+            .event("evacuation", &[("zones", names.join(" ").into())]);
     }
     catalog.evacuate(Instant::now(), zones, warmup);
 }
@@ -258,7 +335,7 @@
     gateway.recorder.event("adopted", &[]);
 }
 
-async fn ask(seed: std::net::SocketAddr) -> Result<super::Mirror, String> {
+async fn ask(seed: SocketAddr) -> Result<super::Mirror, String> {
     let text = |error: &dyn std::fmt::Display| error.to_string();
     let exchange = async {
         let connection = Connection::connect(seed, ASK_LIMIT).await;
@@ -267,7 +344,10 @@
         let head = format!("GET /mirror HTTP/1.1\r\nHost: {seed}\r\nConnection: close\r\n\r\n");
         let written = connection.write(head.as_bytes(), deadline).await;
         written.map_err(|error| text(&error))?;
-        let answer = connection.answer("GET").await.map_err(|error| text(&error))?;
+        let answer = connection
+            .answer("GET")
+            .await
+            .map_err(|error| text(&error))?;
         let body = connection.body(answer.length, MAX_MIRROR).await;
         let body = body.map_err(|error| text(&error))?;
         serde_json::from_slice(&body).map_err(|error| text(&error))
--- a/src/member/agent.rs
+++ b/src/member/agent.rs
@@ -13,8 +13,8 @@
 
 use crate::id::{HostId, Version};
 use crate::member::{FAR_INTERVAL, INTERVAL, Listed, View};
-use crate::peer::{self, Exchange, Link, Moved};
 use crate::object;
+use crate::peer::{self, Exchange, Link, Moved};
 use crate::wire::{Frame, Heartbeat, Issuer};
 
 /// Most quarantined keys in one heartbeat
--- a/src/member/tests/agent.rs
+++ b/src/member/tests/agent.rs
@@ -7,9 +7,9 @@
 use smol::Timer;
 
 use crate::member::{Agent, Hooks, Listed, State, View};
+use crate::object;
 use crate::peer::tests::{Directory, link, run};
 use crate::peer::{Link, Traffic, UNUSED};
-use crate::object;
 
 /// Time between two looks at what a test waits for
 const LOOK: Duration = Duration::from_millis(20);
--- a/src/message/connection.rs
+++ b/src/message/connection.rs
@@ -101,7 +101,9 @@
 
     /// Whether a part of a next request was read
     pub fn has_begun(&self) -> bool {
-        self.buffer.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
+        self.buffer
+            .iter()
+            .any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
     /// Wait for the first byte of a next request; `false` if the other side closed
@@ -184,7 +186,10 @@
 
     async fn head(&mut self, limit: usize) -> Result<usize, Error> {
         loop {
-            let blank = self.buffer.iter().take_while(|b| matches!(b, b'\r' | b'\n'));
+            let blank = self
+                .buffer
+                .iter()
+                .take_while(|b| matches!(b, b'\r' | b'\n'));
             let blank = blank.count();
             if blank > 0 {
                 self.take(blank);
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -13,7 +13,6 @@
 mod head;
 mod length;
 
-
 pub use connection::{Connection, timeout};
 pub use head::{Answer, Request};
 pub use length::Length;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -17,7 +17,6 @@
 mod seat;
 pub mod work;
 
-
 pub use seat::{Outcome, Seat};
 pub use work::Work;
 
@@ -31,6 +30,9 @@
 /// little, since a few homes balance well
 const REMEMBERED: f64 = 9.0;
 
+/// Most endpoints among which an object is kept; more would add little balance
+const MOST_HOMES: usize = 3;
+
 /// Most objects that are counted for a service
 const MOST_OBJECTS: usize = 20_000;
 
@@ -288,9 +290,10 @@
     }
 
     /// Endpoints among which each object is kept, where so many may hold them
-    pub fn homes(&mut self, endpoints: usize) -> usize {
+    pub fn homes(&self, endpoints: usize) -> usize {
         let places = REMEMBERED * endpoints as f64;
-        (places / self.0.len().max(1) as f64) as usize
+        let homes = (places / self.0.len().max(1) as f64) as usize;
+        homes.clamp(1, MOST_HOMES)
     }
 
     /// Forget objects that nobody asked for lately
--- a/src/placement/seat.rs
+++ b/src/placement/seat.rs
@@ -67,7 +67,9 @@
     /// Age of the oldest request there
     pub fn oldest(&self, now: Instant) -> Duration {
         let oldest = self.running.front();
-        oldest.map_or(Duration::ZERO, |begun| now.saturating_duration_since(*begun))
+        oldest.map_or(Duration::ZERO, |begun| {
+            now.saturating_duration_since(*begun)
+        })
     }
 
     /// Whether new requests may go there
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -43,5 +43,8 @@
 fn parameter(query: &str, name: &str) -> String {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let mut found = pairs.filter(|(key, _)| *key == name);
-    found.next().map(|(_, value)| value.to_owned()).unwrap_or_default()
+    found
+        .next()
+        .map(|(_, value)| value.to_owned())
+        .unwrap_or_default()
 }
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -103,7 +103,10 @@
 
 /// Running and waiting requests that an endpoint reports
 pub fn load(headers: &Headers) -> Option<(u32, u32)> {
-    let mut parts = headers.get(LOAD)?.split(',').map(|part| part.trim().parse());
+    let mut parts = headers
+        .get(LOAD)?
+        .split(',')
+        .map(|part| part.trim().parse());
     match (parts.next()?, parts.next()?) {
         (Ok(running), Ok(waiting)) => Some((running, waiting)),
         _ => None,
@@ -123,7 +126,9 @@
 
 /// Time for which an idle connection stays open, where the endpoint states it
 pub fn keep_alive(headers: &Headers) -> Option<Duration> {
-    let parts = headers.values("keep-alive").flat_map(|value| value.split(','));
+    let parts = headers
+        .values("keep-alive")
+        .flat_map(|value| value.split(','));
     let mut named = parts.filter_map(|part| part.trim().split_once('='));
     let (_, seconds) = named.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
     seconds.trim().parse().ok().map(Duration::from_secs)
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,4 +9,3 @@
 pub mod node;
 pub mod record;
 pub mod store;
-
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -102,7 +102,10 @@
     let mut routes = Vec::new();
     for (name, value) in config.routes {
         let entry = RouteEntry::deserialize(&value);
-        routes.push(route(&name, entry.map_err(|error| format!("route {name}: {error}"))?)?);
+        routes.push(route(
+            &name,
+            entry.map_err(|error| format!("route {name}: {error}"))?,
+        )?);
     }
     let services = config.services.into_iter().map(|(name, entry)| {
         let service = Service {
@@ -199,6 +202,7 @@
         "region": member.region,
         "caller": member.caller.to_string(),
         "peer": member.peer.to_string(),
+        "control": member.control.map(|control| control.to_string()),
         "incarnation": member.incarnation,
         "weight": member.weight,
     })
@@ -213,6 +217,7 @@
         region: spec["region"].as_str()?.into(),
         caller: spec["caller"].as_str()?.parse().ok()?,
         peer: spec["peer"].as_str()?.parse().ok()?,
+        control: spec["control"].as_str().and_then(|text| text.parse().ok()),
         incarnation: spec["incarnation"].as_u64()?,
         weight: spec["weight"].as_f64()?,
         revision: object.revision,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,7 +12,6 @@
 
 use crate::id::{RegionId, ServiceId, Version};
 
-
 /// Configuration in force
 #[derive(Clone, Debug, Default)]
 pub struct Document {
@@ -137,7 +136,9 @@
     /// Route with the longest prefix of a path; the host without its port
     pub fn route(&self, host: &str, path: &str) -> Option<Rc<Route>> {
         let host = host.to_ascii_lowercase();
-        let bare = host.rsplit_once(':').map_or(host.as_str(), |(bare, _)| bare);
+        let bare = host
+            .rsplit_once(':')
+            .map_or(host.as_str(), |(bare, _)| bare);
         let routes = self.hosts.get(host.as_str());
         let mut routes = routes.or_else(|| self.hosts.get(bare))?.iter();
         routes
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::id::RegionId;
-
+use crate::util::stable_hash;
 
 /// Part of its slots that a region uses before it sends traffic away; leaves a queue short
 pub const HOME_USE: f64 = 0.55;
@@ -24,6 +24,9 @@
 /// remembered object
 const PRICE: f64 = 0.06;
 
+/// Expected time, in seconds, that it costs to send an object to a region that does not keep it
+pub const STRANGE: f64 = 0.2;
+
 /// Least time between two steps
 const STEP: Duration = Duration::from_millis(100);
 
@@ -141,6 +144,20 @@
         self.shares = next.filter(|(_, share)| *share > 1e-6).collect();
     }
 
+    /// Region that keeps an object, so that a region remembers few objects rather than all a little
+    ///
+    /// All hosts agree, as far as their shares do; a slow change of the shares moves few objects.
+    pub fn keeper(&self, object: u64) -> Option<&RegionId> {
+        let mut at = stable_hash(&object) as f64 / u64::MAX as f64;
+        for (region, share) in &self.shares {
+            if at < *share {
+                return Some(region);
+            }
+            at -= share;
+        }
+        self.shares.keys().next_back()
+    }
+
     /// Region of the next request, by expected cost in seconds; `None` cost means not possible
     ///
     /// Counts follow the shares to within [`SLACK`] requests, so that no window of a few dozen
