Follow the store through silent and cut watches

Now a reader that fails at the store answers its followers 503 at once; stamps of the newest write and the number of objects tell who is behind; a cut watch is followed by a list; a reader that was not heard for four reports is left.

Ruled out: lost gossip (673 reports in 5 s), refused documents.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -18,6 +18,10 @@
 use crate::id::{HostId, Incarnation, RegionId, ServiceId, ZoneId};
 use crate::util::stable_hash;
 
+mod lag;
+
+pub use lag::{Lag, Stamp};
+
 /// Successors on the ring that a host watches; enough that neighbours rarely fail together
 pub const WATCHED: usize = 4;
 
@@ -126,6 +130,15 @@
         listed.max(1)
     }
 
+    /// Number of hosts of a region
+    pub fn near(&self, region: &str) -> usize {
+        let near = self
+            .members
+            .values()
+            .filter(|member| member.region == region);
+        near.count()
+    }
+
     /// Whether an address belongs to a listed host
     pub fn knows(&self, host: &HostId, ip: IpAddr) -> bool {
         let member = self.members.get(host);
@@ -152,11 +165,18 @@
     /// Hosts of a region that follow the store itself; the others follow them
     ///
     /// The store counts each waiting watch, so their number must not grow with the fleet.
-    pub fn readers(&self, region: &str) -> Vec<&Member> {
+    ///
+    /// A host that was not heard for `term` may be cut off, and others had better not follow it.
+    pub fn readers(&self, now: Instant, region: &str, term: Duration) -> Vec<&Member> {
+        let heard = |member: &&Member| {
+            let at = self.heard.get(&member.host);
+            member.host == self.own || at.is_some_and(|at| now < *at + term)
+        };
         let near = self
             .members
             .values()
             .filter(|member| member.region == region);
+        let near = near.filter(heard);
         let mut scored: Vec<(u64, &Member)> = near
             .filter(|member| member.control.is_some())
             .map(|member| (stable_hash(&("reader", &member.host)), member))
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -199,8 +199,9 @@
         let (gateway, shared) = (self.gateway.clone(), self.shared.clone());
         let keep = request.keep;
         let spawner = gateway.clone();
+        let running = Running::new(&gateway);
         let task = spawner.spawn(async move {
-            let _running = Running::new(&gateway);
+            let _running = running;
             let mut upload = Upload::Whole(&body);
             let reply = forward(&gateway, &request, &mut upload, arrived).await;
             answer(&gateway, &shared, turn, &request, reply, !keep).await;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -72,6 +72,9 @@
     upload: &Upload<'_>,
     arrived: Instant,
 ) -> Result<Journey<'a>, Refusal> {
+    if gateway.closing.get() {
+        return Err(Refusal::not_run("host is stopping", Duration::ZERO));
+    }
     let Some(document) = gateway.document() else {
         return Err(Refusal::not_run(
             "no configuration",
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol::channel::{Receiver, Sender, bounded};
 
+use crate::fleet::Stamp;
 use crate::platform::store::{Event, Kind, Object};
 
 /// Changes of a kind that are kept for hosts that follow this one; minutes of an ordinary day
@@ -20,6 +21,9 @@
     kinds: BTreeMap<Kind, BTreeMap<CompactString, Object>>,
     /// Newest revision of an object by kind, removals included
     newest: BTreeMap<Kind, u64>,
+    /// Newest revision of any object that was written, by kind
+    #[serde(skip)]
+    written: BTreeMap<Kind, u64>,
     #[serde(skip)]
     dark: BTreeMap<Kind, Instant>,
     #[serde(skip)]
@@ -53,6 +57,8 @@
 impl Mirror {
     /// Take a whole list
     pub fn replace(&mut self, now: Instant, kind: Kind, objects: Vec<Object>, revision: u64) {
+        let written = objects.iter().map(|object| object.revision).max();
+        self.write(kind, written.unwrap_or(0));
         let named = objects
             .into_iter()
             .map(|object| (object.name.clone(), object));
@@ -131,10 +137,16 @@
 
     /// Take one object
     pub fn put(&mut self, kind: Kind, object: Object) {
+        self.write(kind, object.revision);
         let objects = self.kinds.entry(kind).or_default();
         objects.insert(object.name.clone(), object);
     }
 
+    fn write(&mut self, kind: Kind, revision: u64) {
+        let written = self.written.entry(kind).or_default();
+        *written = revision.max(*written);
+    }
+
     /// Forget one object
     pub fn remove(&mut self, kind: Kind, name: &str) {
         if let Some(objects) = self.kinds.get_mut(&kind) {
@@ -147,6 +159,15 @@
         self.kinds.get(&kind).into_iter().flat_map(BTreeMap::values)
     }
 
+    /// How far the knowledge of each kind reaches
+    pub fn stamps(&self) -> BTreeMap<Kind, Stamp> {
+        let stamps = self.kinds.iter().map(|(kind, objects)| {
+            let written = self.written.get(kind).copied().unwrap_or(0);
+            (*kind, Stamp::new(written, objects.len()))
+        });
+        stamps.collect()
+    }
+
     /// Note the revision up to which a kind is known
     pub fn advance(&mut self, kind: Kind, revision: u64) {
         let newest = self.newest.entry(kind).or_default();
@@ -165,16 +186,14 @@
         Some(now.saturating_duration_since(since))
     }
 
-    /// A call about this kind failed; says whether that is new
+    /// This kind cannot be read; says whether that is new
     pub fn failed(&mut self, now: Instant, kind: Kind) -> bool {
         let mut new = false;
         self.dark.entry(kind).or_insert_with(|| {
             new = true;
             now
         });
-        if new {
-            self.wake(kind);
-        }
+        self.set_direct(kind, false);
         new
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -75,6 +75,8 @@
     arrivals: RefCell<BTreeMap<ServiceId, Recent>>,
     chills: RefCell<BTreeMap<EndpointId, cold::Tokens>>,
     stopping: Cell<bool>,
+    /// Whether new requests are refused, as they could not be finished
+    closing: Cell<bool>,
     open: Cell<usize>,
     running: Cell<usize>,
     executor: Rc<LocalExecutor<'static>>,
@@ -101,6 +103,7 @@
             arrivals: RefCell::default(),
             chills: RefCell::default(),
             stopping: Cell::new(false),
+            closing: Cell::new(false),
             open: Cell::new(0),
             running: Cell::new(0),
             executor,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,7 +10,7 @@
 use smol::net::UdpSocket;
 
 use super::Gateway;
-use crate::fleet::{Member, PING, Report};
+use crate::fleet::{Lag, Member, PING, Report, Stamp};
 use crate::platform::record;
 use crate::platform::store::{Error, Kind, Session};
 
@@ -24,7 +24,7 @@
 const DEMAND: Duration = Duration::from_millis(1000);
 
 /// Fleet in which load is told to all hosts
-const SMALL: usize = 24;
+pub const SMALL: usize = 24;
 
 /// Hosts of other regions that hear of the demand each time
 const FAR: usize = 4;
@@ -38,13 +38,10 @@
 /// Gap in this host's own time that shows that it was paused
 const PAUSED: Duration = Duration::from_millis(1200);
 
-/// Time for which a host may know of newer objects before this one's watch counts as silent
-const BEHIND: Duration = Duration::from_millis(400);
-
 /// Read datagrams for ever
 pub async fn listen(gateway: Rc<Gateway>, socket: UdpSocket, kicks: BTreeMap<Kind, Sender<()>>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
-    let mut behind: BTreeMap<Kind, Instant> = BTreeMap::new();
+    let mut lag = Lag::new();
     loop {
         let (count, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -54,7 +51,7 @@
                 continue;
             }
         };
-        let Ok((report, revisions)) = decode(&buffer[..count]) else {
+        let Ok((report, stamps)) = decode(&buffer[..count]) else {
             log::debug!("{from} sent a datagram that cannot be read");
             continue;
         };
@@ -70,37 +67,35 @@
         if report.ping {
             send(&gateway, &socket, from, false).await;
         }
-        compare(&gateway, now, &revisions, &mut behind, &kicks);
+        compare(&gateway, now, &stamps, &mut lag, &kicks);
     }
 }
 
-/// Open a watch anew that stays behind what another host knows
+/// Go on to another source for a kind that stays behind what other hosts know
 fn compare(
     gateway: &Gateway,
     now: Instant,
-    revisions: &BTreeMap<Kind, u64>,
-    behind: &mut BTreeMap<Kind, Instant>,
+    stamps: &BTreeMap<Kind, Stamp>,
+    lag: &mut Lag<Kind>,
     kicks: &BTreeMap<Kind, Sender<()>>,
 ) {
-    let mirror = gateway.mirror.borrow();
-    for (kind, theirs) in revisions {
-        let own = mirror.newest().get(kind).copied().unwrap_or(0);
-        if own >= *theirs {
-            behind.remove(kind);
-            continue;
-        }
-        let since = *behind.entry(*kind).or_insert(now);
-        if now >= since + BEHIND {
-            behind.insert(*kind, now + BEHIND);
-            if let Some(kick) = kicks.get(kind)
-                && kick.try_send(()).is_err()
-            {
-                log::debug!("{kind:?}: already told that the watch is behind");
-            }
+    let own = gateway.mirror.borrow().stamps();
+    for (kind, theirs) in stamps {
+        let own = own.get(kind).copied().unwrap_or_default();
+        if lag.hear(now, *kind, own, *theirs)
+            && let Some(kick) = kicks.get(kind)
+            && kick.try_send(()).is_err()
+        {
+            log::debug!("{kind:?}: already told that it is behind");
         }
     }
 }
 
+/// Time between two reports of load to so many hosts
+pub fn interval(hosts: usize) -> Duration {
+    LOAD + LOAD_EACH * hosts as u32
+}
+
 /// Tell hosts of the region what runs here, often; in a small fleet all hosts
 pub async fn tell_near(gateway: Rc<Gateway>, socket: UdpSocket) {
     loop {
@@ -114,7 +109,7 @@
             .filter(|member| member.host != own.host)
             .map(|member| member.peer)
             .collect();
-        Timer::after(LOAD + LOAD_EACH * near.len() as u32).await;
+        Timer::after(interval(near.len())).await;
         for address in near {
             send(&gateway, &socket, address, false).await;
         }
@@ -164,8 +159,8 @@
             running: gateway.pool.borrow().report(),
         }
     };
-    let revisions = gateway.mirror.borrow().newest().clone();
-    match encode(&report, &revisions) {
+    let stamps = gateway.mirror.borrow().stamps();
+    match encode(&report, &stamps) {
         Ok(bytes) => {
             if let Err(error) = socket.send_to(&bytes, to).await {
                 log::debug!("no datagram to {to}: {error}");
@@ -175,11 +170,11 @@
     }
 }
 
-fn encode(report: &Report, revisions: &BTreeMap<Kind, u64>) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_stdvec(&(report, revisions))
+fn encode(report: &Report, stamps: &BTreeMap<Kind, Stamp>) -> Result<Vec<u8>, postcard::Error> {
+    postcard::to_stdvec(&(report, stamps))
 }
 
-fn decode(bytes: &[u8]) -> Result<(Report, BTreeMap<Kind, u64>), postcard::Error> {
+fn decode(bytes: &[u8]) -> Result<(Report, BTreeMap<Kind, Stamp>), postcard::Error> {
     postcard::from_bytes(bytes)
 }
 
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -1,7 +1,8 @@
 //! Planned stop: leave the directory, finish what runs, let callers go.
 //!
 //! The host goes on serving while callers may still name it, with `Connection: close` on each
-//! answer. Late in the grace time it takes no more connections, and ends once nothing runs.
+//! answer. In the second half of the grace time it refuses what comes, since it could not finish
+//! it, and ends once nothing runs.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,9 +11,9 @@
 
 use super::{Gateway, peers};
 
-/// Time before the end of the grace time at which no more connections are taken; longer than most
-/// requests last
-const LAST: Duration = Duration::from_millis(2200);
+/// Part of the grace time in which new requests are served; what takes longer than the other half
+/// would be cut
+const SERVING: f64 = 0.5;
 
 /// Time before the end of the grace time at which the process ends in any case
 const MARGIN: Duration = Duration::from_millis(250);
@@ -30,15 +31,13 @@
     let grace = gateway.settings.borrow().grace;
     let leaver = gateway.clone();
     let leaving = gateway.spawn(async move { peers::leave(&leaver, begun + grace / 2).await });
-    let closes = begun + grace.saturating_sub(LAST);
-    while Instant::now() < closes {
-        Timer::after(PAUSE).await;
-    }
-    drop(listening);
+    Timer::at(begun + grace.mul_f64(SERVING)).await;
+    gateway.closing.set(true);
     let ends = begun + grace.saturating_sub(MARGIN);
     while Instant::now() < ends && gateway.running.get() > 0 {
         Timer::after(PAUSE).await;
     }
+    drop(listening);
     drop(leaving);
     gateway
         .recorder
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -11,7 +11,7 @@
 use smol::channel::Receiver;
 use smol::future::FutureExt;
 
-use super::Gateway;
+use super::{Gateway, peers};
 use crate::message::Connection;
 use crate::object::Backoff;
 use crate::platform::record;
@@ -24,6 +24,15 @@
 /// Shortest and longest pause after a failed call; the configuration has two seconds to be in force
 const PAUSES: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(500));
 
+/// Reports of a reader that may be missed before this host follows another
+const MISSED: u32 = 4;
+
+/// Least time for that; a busy host may be late with its reports
+const LEAST_TERM: Duration = Duration::from_millis(700);
+
+/// Time between two looks at whether the source is still one to follow
+const LOOK: Duration = Duration::from_millis(200);
+
 /// Pause after changes of kinds that change often; short against the seconds that a leaving
 /// endpoint still serves
 const BATCH: Duration = Duration::from_millis(150);
@@ -59,7 +68,12 @@
         address: settings.store,
         direct: true,
     };
-    let readers = fleet.readers(&settings.region);
+    let hosts = match fleet.size() <= peers::SMALL {
+        true => fleet.size(),
+        false => fleet.near(&settings.region),
+    };
+    let term = (peers::interval(hosts) * MISSED).max(LEAST_TERM);
+    let readers = fleet.readers(Instant::now(), &settings.region, term);
     let reads = readers.iter().any(|member| member.host == settings.host);
     let others = readers.iter().filter(|member| member.host != settings.host);
     let mut sources: Vec<Source> = others
@@ -73,10 +87,13 @@
     if stable_hash(&settings.host) % 2 == 1 {
         sources.reverse();
     }
-    match reads {
-        true => sources.insert(0, store),
-        false => sources.push(store),
+    if reads {
+        sources.insert(0, store);
+        return sources;
     }
+    // Readers that lose the store for a moment are asked twice before all turn to the store.
+    sources.extend(sources.clone());
+    sources.push(store);
     sources
 }
 
@@ -108,9 +125,20 @@
         let kicked = async {
             // The sender lives as long as the process.
             let _ = kick.recv().await;
+            log::info!("{kind:?}: other hosts know more, asking the store");
+            None
+        };
+        let replaced = async {
+            if source.direct {
+                return std::future::pending().await;
+            }
+            while self::sources(&gateway).contains(&source) {
+                Timer::after(LOOK).await;
+            }
+            log::info!("{kind:?}: the reader is silent, going on to another");
             None
         };
-        let result = step.or(kicked).await;
+        let result = step.or(kicked).or(replaced).await;
         if source.direct {
             gateway.metrics.store_calls(kind, session.take_calls());
         }
@@ -128,15 +156,33 @@
             }
             Some(Err(error)) => {
                 progress.failures += 1;
+                gateway.mirror.borrow_mut().set_direct(kind, false);
                 if progress.failures >= sources.len() {
                     lost(&gateway, kind, &error);
                     Timer::after(backoff.failed(fastrand::f64())).await;
+                } else if !source.direct {
+                    Timer::after(BATCH).await;
                 }
             }
-            None => log::info!("{kind:?}: other hosts know more, going on to the next source"),
+            None => {
+                progress.turn = self::sources(&gateway)
+                    .iter()
+                    .position(|s| s.direct)
+                    .unwrap_or(0);
+                progress.failed = Some(Instant::now());
+                progress.revision = None;
+                session.reset();
+                continue;
+            }
         }
         session.reset();
-        progress.turn += 1;
+        // A watch that goes on right after one was cut may hear nothing of what came in between,
+        // as the store drops its history; a list tells.
+        progress.revision = None;
+        // A watch at the store may be cut for no lasting reason.
+        if !source.direct || progress.failures > 1 {
+            progress.turn += 1;
+        }
         progress.failed = Some(Instant::now());
     }
 }
