--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -13,6 +13,9 @@
 
 use crate::id::{EndpointId, RegionId, ServiceId, ZoneId};
 
+#[cfg(test)]
+mod tests;
+
 /// Time after an outage of the store in which a lapsed entry may come back; the platform states
 /// about two seconds
 pub const LAPSE: Duration = Duration::from_secs(2);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -20,6 +20,9 @@
 
 mod lag;
 
+#[cfg(test)]
+mod tests;
+
 pub use lag::{Lag, Stamp};
 
 /// Successors on the ring that a host watches; enough that neighbours rarely fail together
--- /dev/null
+++ b/src/fleet/tests.rs
@@ -0,0 +1,227 @@
+//! Who watches whom, who reads the store, who is named, and who is behind.
+
+use std::net::SocketAddr;
+
+use super::*;
+
+fn member(host: &str, region: &str, last: u8) -> Member {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, last], port));
+    Member {
+        host: host.into(),
+        zone: region.into(),
+        region: region.into(),
+        caller: address(80),
+        peer: address(81),
+        control: Some(address(82)),
+        incarnation: 1,
+        weight: 1.0,
+        revision: 7,
+    }
+}
+
+fn fleet(own: &str, hosts: usize) -> Fleet {
+    let mut fleet = Fleet::new(own.into());
+    let list = (0..hosts).map(|i| member(&format!("h{i}"), if i % 2 == 0 { "a" } else { "b" }, 1));
+    fleet.replace(list.collect());
+    fleet
+}
+
+fn report(host: &str) -> Report {
+    Report {
+        host: host.into(),
+        region: "a".into(),
+        ..Report::default()
+    }
+}
+
+#[test]
+fn a_silent_host_is_told_only_by_hosts_that_hear_others() {
+    struct Case {
+        name: &'static str,
+        heard: bool,
+        paused: bool,
+        silent: usize,
+    }
+    let cases = [
+        Case {
+            name: "one of four is silent",
+            heard: true,
+            paused: false,
+            silent: 1,
+        },
+        Case {
+            name: "cut off, hears nobody",
+            heard: false,
+            paused: false,
+            silent: 0,
+        },
+        Case {
+            name: "was paused itself",
+            heard: true,
+            paused: true,
+            silent: 0,
+        },
+    ];
+    for case in cases {
+        let mut fleet = fleet("h0", 8);
+        let start = Instant::now();
+        assert!(fleet.silent(start).is_empty(), "{}", case.name);
+        let watched: Vec<HostId> = fleet.successors().iter().map(|m| m.host.clone()).collect();
+        let late = start + SILENCE + Duration::from_millis(1);
+        for host in watched.iter().skip(1).filter(|_| case.heard) {
+            fleet.hear(late, &report(host));
+        }
+        if case.paused {
+            fleet.paused(late);
+        }
+        assert_eq!(fleet.silent(late).len(), case.silent, "{}", case.name);
+    }
+}
+
+#[test]
+fn each_host_is_watched_by_as_many_as_it_watches() {
+    for hosts in [2, 5, 30] {
+        let mut watchers: BTreeMap<HostId, usize> = BTreeMap::new();
+        for own in 0..hosts {
+            for watched in fleet(&format!("h{own}"), hosts).successors() {
+                *watchers.entry(watched.host.clone()).or_default() += 1;
+            }
+        }
+        let expected = WATCHED.min(hosts - 1);
+        assert!(
+            watchers.values().all(|count| *count == expected),
+            "{hosts} hosts"
+        );
+    }
+}
+
+#[test]
+fn readers_are_hosts_that_were_heard() {
+    let now = Instant::now();
+    let term = Duration::from_millis(700);
+    let mut fleet = fleet("h0", 12);
+    for i in 0..12 {
+        fleet.hear(now, &report(&format!("h{i}")));
+    }
+    let first: Vec<HostId> = fleet
+        .readers(now, "a", term)
+        .iter()
+        .map(|m| m.host.clone())
+        .collect();
+    assert_eq!(first.len(), READERS);
+    let later = now + term;
+    for i in 0..12 {
+        let host = format!("h{i}");
+        if host != first[0] {
+            fleet.hear(later, &report(&host));
+        }
+    }
+    let second: Vec<HostId> = fleet
+        .readers(later, "a", term)
+        .iter()
+        .map(|m| m.host.clone())
+        .collect();
+    assert_eq!(second.len(), READERS);
+    let kept = first[0] == "h0";
+    assert_eq!(
+        second.contains(&first[0]),
+        kept,
+        "a silent reader is replaced"
+    );
+}
+
+#[test]
+fn callers_hear_of_their_region_and_of_strong_hosts_more_often() {
+    let mut fleet = Fleet::new("x".into());
+    let mut list: Vec<Member> = (0..10).map(|i| member(&format!("h{i}"), "a", i)).collect();
+    list[0].weight = 10.0;
+    list.push(member("far", "b", 99));
+    fleet.replace(list);
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut named = [0; 100];
+    for _ in 0..1000 {
+        for address in fleet.directory("a", 3, &mut rng) {
+            let SocketAddr::V4(address) = address else {
+                panic!("no v4 address");
+            };
+            named[usize::from(address.ip().octets()[3])] += 1;
+        }
+    }
+    assert_eq!(named[99], 0, "the other region is not named");
+    assert!(named[0] > 2 * named[1], "{} {}", named[0], named[1]);
+    assert_eq!(fleet.directory("nowhere", 64, &mut rng).len(), 11);
+}
+
+#[test]
+fn demand_counts_silent_hosts_as_the_mean() {
+    let now = Instant::now();
+    let mut fleet = fleet("h0", 8);
+    for i in [0, 2] {
+        let mut told = report(&format!("h{i}"));
+        told.demand.insert("s".into(), 3.0);
+        fleet.hear(now, &told);
+    }
+    assert_eq!(fleet.demand(now, "s").get("a"), Some(&12.0));
+    assert!(fleet.demand(now + Duration::from_secs(60), "s").is_empty());
+}
+
+#[test]
+fn a_host_that_is_behind_reads_afresh_once_for_each_change() {
+    enum Step {
+        /// Milliseconds, own stamp, their stamp, whether a fresh read follows
+        Hear(u64, Stamp, Stamp, bool),
+    }
+    use Step::Hear;
+    let old = Stamp::new(2, 5);
+    let new = Stamp::new(9, 5);
+    let removed = Stamp::new(9, 4);
+    struct Case {
+        name: &'static str,
+        steps: Vec<Step>,
+    }
+    let cases = [
+        Case {
+            name: "hosts that are behind themselves do not reset the mark",
+            steps: vec![
+                Hear(0, old, new, false),
+                Hear(100, old, old, false),
+                Hear(200, old, old, false),
+                Hear(360, old, new, true),
+            ],
+        },
+        Case {
+            name: "one read for one change",
+            steps: vec![
+                Hear(0, old, new, false),
+                Hear(400, old, new, true),
+                Hear(500, old, new, false),
+                Hear(2000, old, new, false),
+            ],
+        },
+        Case {
+            name: "a removal counts like a write",
+            steps: vec![Hear(0, new, removed, false), Hear(400, new, removed, true)],
+        },
+        Case {
+            name: "caught up in time",
+            steps: vec![
+                Hear(0, old, new, false),
+                Hear(300, new, new, false),
+                Hear(400, new, new, false),
+            ],
+        },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut lag = Lag::new();
+        for (index, Hear(at, own, theirs, reads)) in case.steps.into_iter().enumerate() {
+            let now = start + Duration::from_millis(at);
+            assert_eq!(
+                lag.hear(now, 0, own, theirs),
+                reads,
+                "{}, step {index}",
+                case.name
+            );
+        }
+    }
+}
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -47,6 +47,11 @@
         self.at = now;
         self.count
     }
+
+    /// Take a token for one request
+    pub fn spend(&mut self) {
+        self.count -= 1.0;
+    }
 }
 
 impl Gateway {
@@ -81,7 +86,7 @@
         let mut chills = self.chills.borrow_mut();
         let tokens = chills.entry(endpoint.id.clone());
         let tokens = tokens.or_insert_with(|| Tokens::new(now));
-        tokens.count -= 1.0;
+        tokens.spend();
     }
 
     /// Forget endpoints that are not cold any more
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,9 @@
 mod upload;
 mod watch;
 
+#[cfg(test)]
+mod tests;
+
 pub use metrics::Metrics;
 pub use mirror::Mirror;
 pub use record::Recorder;
--- /dev/null
+++ b/src/gateway/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of what the gateway's parts decide without connections.
+
+mod cold;
+mod mirror;
+mod reply;
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -13,6 +13,9 @@
 mod head;
 mod length;
 
+#[cfg(test)]
+mod tests;
+
 pub use connection::{Connection, timeout};
 pub use head::{Answer, Request};
 pub use length::Length;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -17,6 +17,9 @@
 mod seat;
 pub mod work;
 
+#[cfg(test)]
+mod tests;
+
 pub use seat::{Outcome, Seat};
 pub use work::Work;
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,3 +9,6 @@
 pub mod node;
 pub mod record;
 pub mod store;
+
+#[cfg(test)]
+mod tests;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,6 +12,9 @@
 
 use crate::id::{RegionId, ServiceId, Version};
 
+#[cfg(test)]
+mod tests;
+
 /// Configuration in force
 #[derive(Clone, Debug, Default)]
 pub struct Document {
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -11,6 +11,9 @@
 use crate::id::RegionId;
 use crate::util::stable_hash;
 
+#[cfg(test)]
+mod tests;
+
 /// Part of its slots that a region uses before it sends traffic away; leaves a queue short
 pub const HOME_USE: f64 = 0.55;
 
