--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -48,6 +48,8 @@
     Broken(String),
     /// no answer in time
     Late,
+    /// left for another endpoint, as it took long
+    Left,
     /// caller broke off its request: {0}
     Caller(String),
 }
@@ -182,7 +184,7 @@
         Failure::NotSent(_) | Failure::Broken(_) => Outcome::Broken,
         Failure::Shed => Outcome::Shed,
         Failure::Misdirected => Outcome::Misdirected,
-        Failure::Late => Outcome::Failed,
+        Failure::Late | Failure::Left => Outcome::Failed,
         Failure::Caller(_) => Outcome::Cancelled,
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,6 +1,7 @@
 //! A request's way through this host: route, region, endpoint, and what follows a failure.
 
 use std::collections::BTreeMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,7 @@
 use super::{Gateway, record};
 use crate::catalog::Endpoint;
 use crate::id::{EndpointId, RegionId, ServiceId};
-use crate::message::Request;
+use crate::message::{Request, timeout};
 use crate::placement::{Ask, Choice, Work};
 use crate::platform::header;
 use crate::policy::{Repeat, Route};
@@ -29,7 +30,7 @@
 const PATIENCE: u32 = 4;
 
 /// Least time before an idempotent request is tried elsewhere
-const LEAST_PATIENCE: Duration = Duration::from_millis(800);
+const LEAST_PATIENCE: Duration = Duration::from_millis(1000);
 
 /// Bytes of a body that count for recognizing a request that comes again
 const KEY_BYTES: usize = 4 << 10;
@@ -239,24 +240,31 @@
     ) -> Result<Relay, Failure> {
         let id = endpoint.id.clone();
         self.tried.push(id.clone());
-        let pace = choice.time + self.work(Work::cold) * PATIENCE;
-        let patience = pace.max(LEAST_PATIENCE);
-        let now = Instant::now();
-        let left = self.until.saturating_duration_since(now);
-        let again = self.is_idempotent() && self.ran + 1 < self.route.attempts;
-        let until = match again && left > patience + pace / 2 {
-            true => now + patience,
-            false => self.until,
-        };
+        let patience = (choice.time + self.work(Work::cold) * PATIENCE).max(LEAST_PATIENCE);
         let limits = Limits {
-            until,
+            until: self.until,
             deadline: self.until,
             idempotent: self.is_idempotent(),
         };
         let rank = self.object.map(|_| choice.rank);
         let place = Place::new(self.gateway, endpoint, self.route.name.clone(), rank);
         self.gateway.quarantine.borrow_mut().start(self.key, &id);
-        let result = exchange::run(self.gateway, place, self.request, upload, limits).await;
+        let whole = upload.is_whole();
+        let result = {
+            let mut running = pin!(exchange::run(
+                self.gateway,
+                place,
+                self.request,
+                upload,
+                limits
+            ));
+            match timeout(Instant::now() + patience, running.as_mut()).await {
+                Some(result) => result,
+                // Nobody is better off if it is given up here without a place to go to.
+                None if whole && self.may_leave(patience) => Err(Failure::Left),
+                None => running.await,
+            }
+        };
         self.gateway.quarantine.borrow_mut().end(self.key, &id);
         match &result {
             Ok(_) => self.ran += 1,
@@ -273,6 +281,17 @@
         result
     }
 
+    /// Whether an attempt that takes long is given up for another; takes from the retry budget
+    fn may_leave(&self, patience: Duration) -> bool {
+        let now = Instant::now();
+        let again = self.is_idempotent() && self.ran + 1 < self.route.attempts;
+        let time = now + patience / 2 < self.until;
+        if !again || !time || self.gateway.is_stopping() {
+            return false;
+        }
+        !self.candidates(now).is_empty() && self.gateway.allow_retry(now, &self.service)
+    }
+
     /// Whether an answer is passed on; a failure of the endpoint may be tried elsewhere
     fn judge(&mut self, relay: Relay, upload: &Upload<'_>) -> Result<Reply, Failure> {
         let status = relay.head.status;
@@ -314,8 +333,9 @@
             log::debug!("quarantined for {left:?}");
             return false;
         }
-        // What was never sent reaches no endpoint, so it does not count.
-        if matches!(failure, Failure::NotSent(_)) {
+        // What was never sent reaches no endpoint, so it does not count; for what was left it was
+        // counted then.
+        if matches!(failure, Failure::NotSent(_) | Failure::Left) {
             return true;
         }
         self.gateway.allow_retry(now, &self.service)
@@ -328,7 +348,7 @@
             return self.refuse("endpoints did not run it", back);
         }
         let status = match failure {
-            Failure::Late => 504,
+            Failure::Late | Failure::Left => 504,
             _ => 502,
         };
         self.finish(&failure.to_string(), status);
