Count held requests as demand, so that a small region sends traffic away

Cause: tsv has 26 of 262 endpoints and a third of the traffic. Its objects do not fit its endpoints' memory, so work is slow and requests queue; demand was worked out from the work of good conditions, stayed below the level, and 90 % stayed at home (p50 1021 ms).

Ruled out: the cap on shifts (shares were at their target), objects kept apart (they were).

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,17 +8,17 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use smol::{LocalExecutor, Task};
 
 use crate::catalog::Catalog;
-use crate::fleet::Fleet;
+use crate::fleet::{self, Fleet};
 use crate::id::{EndpointId, Incarnation, RegionId, ServiceId};
 use crate::placement::{Objects, Pool, Recent, work};
 use crate::policy::Document;
 use crate::quarantine;
-use crate::region::{self, Ramp, Room, Shares};
+use crate::region::{self, Demand, Ramp, Room, Shares};
 use crate::retry::Window;
 
 mod accept;
@@ -47,6 +47,10 @@
 pub use record::Recorder;
 pub use settings::Settings;
 
+/// Time over which requests are counted for the demand; long enough for tens of requests, short
+/// against a wave of traffic
+const RATE_SPAN: Duration = Duration::from_secs(3);
+
 /// State that all tasks of an entry host share
 #[derive(Debug)]
 pub struct Gateway {
@@ -76,6 +80,7 @@
     retries: RefCell<BTreeMap<ServiceId, Window>>,
     objects: RefCell<BTreeMap<(ServiceId, RegionId), Objects>>,
     arrivals: RefCell<BTreeMap<ServiceId, Recent>>,
+    demand: RefCell<BTreeMap<ServiceId, Demand>>,
     chills: RefCell<BTreeMap<EndpointId, cold::Tokens>>,
     stopping: Cell<bool>,
     /// Whether new requests are refused, as they could not be finished
@@ -104,6 +109,7 @@
             retries: RefCell::default(),
             objects: RefCell::default(),
             arrivals: RefCell::default(),
+            demand: RefCell::default(),
             chills: RefCell::default(),
             stopping: Cell::new(false),
             closing: Cell::new(false),
@@ -185,31 +191,74 @@
     }
 
     /// Slots that the requests entering here keep busy, by service
-    pub fn demand(&self, now: Instant) -> BTreeMap<ServiceId, f32> {
-        // Long enough to count tens of requests, short against a wave of traffic.
-        const SPAN: std::time::Duration = std::time::Duration::from_secs(3);
+    pub fn demand(&self) -> BTreeMap<ServiceId, f32> {
+        let demand = self.demand.borrow();
+        let busy = demand
+            .iter()
+            .map(|(service, demand)| (service.clone(), demand.busy() as f32));
+        busy.collect()
+    }
+
+    /// Measure the demand; to be called several times a second
+    fn measure(&self, now: Instant) {
+        let home = self.settings.borrow().region.clone();
+        let running = self.running_at(&home);
+        let shares = self.shares();
+        let mut arrivals = self.arrivals.borrow_mut();
+        let mut demand = self.demand.borrow_mut();
+        for (service, recent) in arrivals.iter_mut() {
+            let rate = recent.count(now, RATE_SPAN) as f64 / RATE_SPAN.as_secs_f64();
+            let share = shares.get(service).and_then(|shares| shares.get(&home));
+            let share = share.copied().unwrap_or(1.0);
+            let here = running.get(service).copied().unwrap_or(0.0);
+            let work = rate * self.usual_work(service, &home);
+            let demand = demand.entry(service.clone()).or_default();
+            demand.observe(now, work, here, share);
+        }
+    }
+
+    /// Count the own demand with that of the others
+    fn hear_self(&self) {
+        let settings = self.settings.borrow();
+        let report = fleet::Report {
+            host: settings.host.clone(),
+            region: settings.region.clone(),
+            ping: false,
+            demand: self.demand(),
+            running: BTreeMap::new(),
+        };
+        self.fleet.borrow_mut().hear(Instant::now(), &report);
+    }
+
+    /// Usual time at an endpoint of a service, over its routes, in seconds
+    fn usual_work(&self, service: &ServiceId, region: &RegionId) -> f64 {
         let pool = self.pool.borrow();
         let document = self.document();
-        let home = self.settings.borrow().region.clone();
-        let work = |service: &ServiceId| {
-            let routes = document.iter().flat_map(|document| document.routes());
-            let routes = routes.filter(|route| route.parts.iter().any(|p| p.service == *service));
-            let known: Vec<f64> = routes
-                .filter_map(|route| pool.work(&route.name, &home))
-                .filter(|work| work.seen() > 0)
-                .map(|work| work.expected(0))
-                .collect();
-            match known.len() {
-                0 => work::GUESS,
-                count => known.iter().sum::<f64>() / count as f64,
+        let routes = document.iter().flat_map(|document| document.routes());
+        let routes = routes.filter(|route| route.parts.iter().any(|p| p.service == *service));
+        let known: Vec<f64> = routes
+            .filter_map(|route| pool.work(&route.name, region))
+            .filter(|work| work.seen() > 0)
+            .map(|work| work.expected(0))
+            .collect();
+        match known.len() {
+            0 => work::GUESS,
+            count => known.iter().sum::<f64>() / count as f64,
+        }
+    }
+
+    /// Requests of this host at the endpoints of a region, by service
+    fn running_at(&self, region: &RegionId) -> BTreeMap<ServiceId, f64> {
+        let pool = self.pool.borrow();
+        let catalog = self.catalog.borrow();
+        let mut running: BTreeMap<ServiceId, f64> = BTreeMap::new();
+        for endpoint in catalog.all().filter(|end| end.region == *region) {
+            let here = pool.seat(&endpoint.id).map_or(0, |seat| seat.running());
+            if here > 0 {
+                *running.entry(endpoint.service.clone()).or_default() += f64::from(here);
             }
-        };
-        let mut arrivals = self.arrivals.borrow_mut();
-        let busy = arrivals.iter_mut().map(|(service, recent)| {
-            let rate = recent.count(now, SPAN) as f64 / SPAN.as_secs_f64();
-            (service.clone(), (rate * work(service)) as f32)
-        });
-        busy.collect()
+        }
+        running
     }
 
     /// Region of the next request for a service, by expected cost in seconds
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -110,6 +110,8 @@
             .map(|member| member.peer)
             .collect();
         Timer::after(interval(near.len())).await;
+        gateway.measure(Instant::now());
+        gateway.hear_self();
         for address in near {
             send(&gateway, &socket, address, false).await;
         }
@@ -155,7 +157,7 @@
             host: settings.host.clone(),
             region: settings.region.clone(),
             ping,
-            demand: gateway.demand(Instant::now()),
+            demand: gateway.demand(),
             running: gateway.pool.borrow().report(),
         }
     };
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -11,9 +11,13 @@
 use crate::id::RegionId;
 use crate::util::stable_hash;
 
+mod demand;
+
 #[cfg(test)]
 mod tests;
 
+pub use demand::Demand;
+
 /// Part of its slots that a region uses before it sends traffic away; leaves a queue short
 pub const HOME_USE: f64 = 0.55;
 
