Bound the demand by cold work, and assume a like demand when a fleet starts

Cause: held requests include queues, so bne told 117 busy slots of 36 after a restart and everybody sent its traffic elsewhere, and for 10 s; after kill_all shares began at home and moved for 15 s.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -51,6 +51,7 @@
     ran: u32,
     not_run: u32,
     may_have_run: bool,
+    expected: Option<(usize, Duration, Duration)>,
 }
 
 /// Serve one request
@@ -124,6 +125,7 @@
         ran: 0,
         not_run: 0,
         may_have_run: false,
+        expected: None,
     })
 }
 
@@ -183,6 +185,7 @@
         let region = picked.or_else(nearest)?;
         let choice = found.remove(&region)?;
         self.region = Some(region);
+        self.expected = Some((choice.rank, choice.wait, choice.time));
         let catalog = self.gateway.catalog.borrow();
         let endpoint = catalog.get(&choice.id)?.clone();
         if catalog.is_cold(now, &choice.id) {
@@ -372,6 +375,7 @@
             took,
             tried: &self.tried,
             region: self.region.as_deref().unwrap_or("-"),
+            expected: self.expected,
             left: self.until.saturating_duration_since(Instant::now()),
         });
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,7 +15,7 @@
 use crate::catalog::Catalog;
 use crate::fleet::{self, Fleet};
 use crate::id::{EndpointId, Incarnation, RegionId, ServiceId};
-use crate::placement::{Objects, Pool, Recent, work};
+use crate::placement::{Objects, Pool, Recent, Work, work};
 use crate::policy::Document;
 use crate::quarantine;
 use crate::region::{self, Demand, Ramp, Room, Shares};
@@ -207,13 +207,14 @@
         let mut arrivals = self.arrivals.borrow_mut();
         let mut demand = self.demand.borrow_mut();
         for (service, recent) in arrivals.iter_mut() {
-            let rate = recent.count(now, RATE_SPAN) as f64 / RATE_SPAN.as_secs_f64();
+            let rate = recent.rate(now, RATE_SPAN);
             let share = shares.get(service).and_then(|shares| shares.get(&home));
             let share = share.copied().unwrap_or(1.0);
             let here = running.get(service).copied().unwrap_or(0.0);
-            let work = rate * self.usual_work(service, &home);
+            let work = rate * self.usual_work(service, &home, |work| work.expected(0));
+            let most = rate * self.usual_work(service, &home, Work::cold);
             let demand = demand.entry(service.clone()).or_default();
-            demand.observe(now, work, here, share);
+            demand.observe(now, work, most, here, share);
         }
     }
 
@@ -231,7 +232,12 @@
     }
 
     /// Usual time at an endpoint of a service, over its routes, in seconds
-    fn usual_work(&self, service: &ServiceId, region: &RegionId) -> f64 {
+    fn usual_work(
+        &self,
+        service: &ServiceId,
+        region: &RegionId,
+        read: impl Fn(&Work) -> f64,
+    ) -> f64 {
         let pool = self.pool.borrow();
         let document = self.document();
         let routes = document.iter().flat_map(|document| document.routes());
@@ -239,7 +245,7 @@
         let known: Vec<f64> = routes
             .filter_map(|route| pool.work(&route.name, region))
             .filter(|work| work.seen() > 0)
-            .map(|work| work.expected(0))
+            .map(read)
             .collect();
         match known.len() {
             0 => work::GUESS,
@@ -276,6 +282,9 @@
         let ramp = ramps.entry(service.clone()).or_default();
         let usable = |region: &RegionId| rooms.get(region).is_some_and(|room| room.slots > 0.0);
         ramp.step(now, &target, usable);
+        if ramp.has_moved() {
+            self.tell_shares(service, ramp.shares(), &target, &rooms);
+        }
         let keeper = object.and_then(|object| ramp.keeper(object)).cloned();
         let strange = |region: &RegionId| keeper.as_ref().is_some_and(|keeper| keeper != region);
         let extra = |region: &RegionId| {
@@ -294,6 +303,35 @@
         Some(picked)
     }
 
+    /// Record that shares moved, and what they follow
+    fn tell_shares(
+        &self,
+        service: &ServiceId,
+        shares: &Shares,
+        target: &Shares,
+        rooms: &BTreeMap<RegionId, Room>,
+    ) {
+        let text = |shares: &Shares| {
+            let parts = shares
+                .iter()
+                .map(|(region, share)| format!("{region}={share:.2}"));
+            parts.collect::<Vec<_>>().join(" ")
+        };
+        let rooms = rooms
+            .iter()
+            .map(|(region, room)| format!("{region}={:.1}/{:.0}", room.demand, room.slots));
+        let fields = [
+            ("service", service.as_str().into()),
+            ("shares", text(shares).into()),
+            ("target", text(target).into()),
+            (
+                "demand_of_slots",
+                rooms.collect::<Vec<_>>().join(" ").into(),
+            ),
+        ];
+        self.recorder.event("shares", &fields);
+    }
+
     /// Shares in force by service
     pub fn shares(&self) -> BTreeMap<ServiceId, Shares> {
         let ramps = self.ramps.borrow();
@@ -321,6 +359,7 @@
         for (region, demand) in self.fleet.borrow().demand(now, service) {
             rooms.entry(region).or_default().demand = demand;
         }
+        region::assume(&mut rooms);
         rooms
     }
 }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -43,6 +43,8 @@
     pub tried: &'a [CompactString],
     /// Region that was picked
     pub region: &'a str,
+    /// What was expected of the last endpoint: its rank for the object, the wait and the time
+    pub expected: Option<(usize, Duration, Duration)>,
     /// Time that was left of the deadline
     pub left: Duration,
 }
@@ -102,6 +104,9 @@
             "left_ms": line.left.as_millis() as u64,
             "tried": line.tried,
             "region": line.region,
+            "rank": line.expected.map(|(rank, ..)| rank),
+            "wait_ms": line.expected.map(|(_, wait, _)| wait.as_millis() as u64),
+            "expected_ms": line.expected.map(|(.., time)| time.as_millis() as u64),
         });
         log::info!(target: TARGET, "{text}");
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -307,19 +307,33 @@
 
 /// Sliding count of events
 #[derive(Clone, Debug, Default)]
-pub struct Recent(VecDeque<Instant>);
+pub struct Recent {
+    events: VecDeque<Instant>,
+    first: Option<Instant>,
+}
 
 impl Recent {
     /// Count an event
     pub fn add(&mut self, now: Instant) {
-        self.0.push_back(now);
+        self.first.get_or_insert(now);
+        self.events.push_back(now);
     }
 
     /// Events within the last `span`
     pub fn count(&mut self, now: Instant, span: Duration) -> usize {
-        while self.0.front().is_some_and(|at| *at + span <= now) {
-            self.0.pop_front();
+        while self.events.front().is_some_and(|at| *at + span <= now) {
+            self.events.pop_front();
         }
-        self.0.len()
+        self.events.len()
+    }
+
+    /// Events a second within the last `span`, or since the first if that is less
+    pub fn rate(&mut self, now: Instant, span: Duration) -> f64 {
+        // Less time than that says little.
+        const LEAST: Duration = Duration::from_millis(500);
+        let since = self
+            .first
+            .map_or(span, |first| now.saturating_duration_since(first));
+        self.count(now, span) as f64 / since.clamp(LEAST, span).as_secs_f64()
     }
 }
--- a/src/region/demand.rs
+++ b/src/region/demand.rs
@@ -11,7 +11,7 @@
 const RISE: Duration = Duration::from_millis(1000);
 
 /// Time in which a fall does
-const FALL: Duration = Duration::from_secs(10);
+const FALL: Duration = Duration::from_secs(5);
 
 /// Least share by which held requests are scaled up; below it they say little
 const LEAST_SHARE: f64 = 0.2;
@@ -25,9 +25,14 @@
 }
 
 impl Demand {
-    /// Take a measurement: slots that the work needs, requests held at home, share kept at home
-    pub fn observe(&mut self, now: Instant, work: f64, held: f64, share: f64) {
-        let held = held / share.max(LEAST_SHARE);
+    /// Take a measurement
+    ///
+    /// `work` are the slots that the requests need under good conditions and `most` those when no
+    /// endpoint remembers an object; `held` are the requests at the endpoints of the home region,
+    /// which gets this `share` of them.
+    pub fn observe(&mut self, now: Instant, work: f64, most: f64, held: f64, share: f64) {
+        // Beyond `most`, requests wait for each other, which is no demand.
+        let held = (held / share.max(LEAST_SHARE)).min(most);
         let passed = match self.at {
             Some(at) => now.saturating_duration_since(at),
             None => Duration::ZERO,
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -24,6 +24,9 @@
 /// Part of the traffic that may move within a second; the platform allows 0.15 in two seconds
 pub const PACE: f64 = 0.045;
 
+/// Change of a share that is told to operators
+const MARKED: f64 = 0.1;
+
 /// Requests by which counts may stray from the shares, on each host
 pub const SLACK: f64 = 3.0;
 
@@ -85,11 +88,24 @@
     shares
 }
 
+/// Fill in a like demand for all regions where none is known yet, as after a start of the fleet
+///
+/// Shares begin near where they will be, instead of moving there within the cap.
+pub fn assume(rooms: &mut BTreeMap<RegionId, Room>) {
+    if rooms.values().any(|room| room.demand > 0.0) || rooms.is_empty() {
+        return;
+    }
+    let slots: f64 = rooms.values().map(|room| room.slots).sum();
+    let each = slots * HOME_USE / rooms.len() as f64;
+    rooms.values_mut().for_each(|room| room.demand = each);
+}
+
 /// Shares on their way to a target, and the rotation that keeps to them
 #[derive(Clone, Debug, Default)]
 pub struct Ramp {
     shares: Shares,
     moved: Option<Instant>,
+    told: Shares,
     credit: BTreeMap<RegionId, f64>,
 }
 
@@ -104,6 +120,20 @@
         &self.shares
     }
 
+    /// Whether the shares moved markedly since this was asked last and said so
+    pub fn has_moved(&mut self) -> bool {
+        let part = |shares: &Shares, region: &RegionId| shares.get(region).copied().unwrap_or(0.0);
+        let regions = self.shares.keys().chain(self.told.keys());
+        let moved = regions
+            .map(|region| (part(&self.shares, region) - part(&self.told, region)).abs())
+            .fold(0.0, f64::max);
+        if moved < MARKED {
+            return false;
+        }
+        self.told = self.shares.clone();
+        true
+    }
+
     /// Move toward a target; regions that are not `usable` lose their share at once
     pub fn step(&mut self, now: Instant, target: &Shares, usable: impl Fn(&RegionId) -> bool) {
         let Some(moved) = self.moved else {
--- a/src/retry/window.rs
+++ b/src/retry/window.rs
@@ -42,9 +42,4 @@
         self.retries.add(now);
         true
     }
-
-    /// Requests a second, over the window
-    pub fn rate(&mut self, now: Instant, window: Duration) -> f64 {
-        self.requests.count(now, window) as f64 / window.as_secs_f64()
-    }
 }
