--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -46,13 +46,12 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let handler = gateway.clone();
-                gateway
-                    .spawn(async move {
-                        handler.open.set(handler.open.get() + 1);
-                        serve_one(&handler, stream).await;
-                        handler.open.set(handler.open.get() - 1);
-                    })
-                    .detach();
+                gateway.open.set(gateway.open.get() + 1);
+                let served = async move {
+                    serve_one(&handler, stream).await;
+                    handler.open.set(handler.open.get() - 1);
+                };
+                gateway.spawn(served).detach();
             }
             Err(error) => {
                 log::warn!("cannot accept a caller: {error}");
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -18,6 +18,10 @@
 /// Time before the end of the grace time at which the process ends in any case
 const MARGIN: Duration = Duration::from_millis(250);
 
+/// Longest time for which open connections are waited for at the end; longer than a caller takes to
+/// send on a connection that it has just opened
+const LINGER: Duration = Duration::from_millis(500);
+
 /// Pause between two looks at what still runs
 const PAUSE: Duration = Duration::from_millis(25);
 
@@ -37,7 +41,17 @@
     while Instant::now() < ends && gateway.running.get() > 0 {
         Timer::after(PAUSE).await;
     }
+    // From here on callers find no listener and go elsewhere; those that are connected already are
+    // still answered.
     drop(listening);
+    Timer::after(PAUSE).await;
+    let ends = ends.min(Instant::now() + LINGER);
+    while Instant::now() < ends && gateway.open.get() > 0 {
+        Timer::after(PAUSE).await;
+    }
+    while Instant::now() < ends && gateway.running.get() > 0 {
+        Timer::after(PAUSE).await;
+    }
     drop(leaving);
     gateway
         .recorder
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 pub mod header;
 pub mod node;
 pub mod record;
+pub mod standin;
 pub mod store;
 
 #[cfg(test)]
