--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -314,7 +314,7 @@
             return Ok(self.give_up(Failure::Broken(format!("status {status}"))));
         }
         self.finish("served", status);
-        Ok(Reply::Relayed(relay))
+        Ok(Reply::Relayed(Box::new(relay)))
     }
 
     /// Whether another endpoint may be asked after a failure; takes from the retry budget
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -27,7 +27,7 @@
     /// An answer of this system
     Own(Refusal),
     /// An answer of an endpoint
-    Relayed(Relay),
+    Relayed(Box<Relay>),
 }
 
 /// Answer of this system
@@ -80,7 +80,7 @@
 ) -> io::Result<()> {
     match reply {
         Reply::Own(refusal) => own(out, &refusal, attempt, close).await,
-        Reply::Relayed(relay) => relayed(out, relay, close).await,
+        Reply::Relayed(relay) => relayed(out, *relay, close).await,
     }
 }
 
--- a/src/placement/seat.rs
+++ b/src/placement/seat.rs
@@ -75,7 +75,7 @@
     /// Whether new requests may go there
     pub fn is_open(&self, now: Instant) -> bool {
         match self.out_until {
-            Some(until) => now >= until && !(self.trial && !self.running.is_empty()),
+            Some(until) => now >= until && (!self.trial || self.running.is_empty()),
             None => true,
         }
     }
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -153,7 +153,7 @@
     let time = |millis: f64| seconds(millis / 1000.0);
     Ok(Route {
         name: name.clone(),
-        host: entry.host.to_ascii_lowercase().into(),
+        host: entry.host.to_ascii_lowercase(),
         prefix: entry.path_prefix,
         repeat,
         parts,
--- a/src/standin/tests.rs
+++ b/src/standin/tests.rs
@@ -42,3 +42,13 @@
     assert_eq!(store.read("a").map(|(version, _)| *version), Some(2));
     assert_eq!(store.read_old("a", 1).map(|(version, _)| *version), Some(1));
 }
+
+#[test]
+fn ports_are_given_once() {
+    let mut given = std::collections::BTreeSet::new();
+    for _ in 0..40 {
+        for port in super::ports::free(5).expect("free ports") {
+            assert!(given.insert(port), "{port} was given twice");
+        }
+    }
+}
--- a/test.sh
+++ b/test.sh
@@ -10,4 +10,4 @@
     case "$name" in ''|'#'*) ;; *) skip+=(--skip "$name") ;; esac
   done < KNOWN-RED.txt
 fi
-cargo test --locked --all-targets -- "${skip[@]}"
+cargo test --locked --all-targets --no-fail-fast -- "${skip[@]}"
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -43,6 +43,8 @@
     pub listed: Listed,
     /// Running process, if any
     pub process: Option<Process>,
+    /// Whether it was told to stop
+    pub stopping: bool,
 }
 
 /// One upstream
@@ -155,6 +157,7 @@
                 let host = Host {
                     listed,
                     process: None,
+                    stopping: false,
                 };
                 self.hosts.insert(name, host);
             }
@@ -225,7 +228,9 @@
         let file = key("yaml");
         std::fs::write(&file, settings.to_string()).expect("settings written");
         let process = Process::entry(&self.directory, name, &file);
-        self.host_mut(name).process = Some(process);
+        let host = self.host_mut(name);
+        host.process = Some(process);
+        host.stopping = false;
     }
 
     /// Wait until a host answers look-ups for all services
@@ -244,6 +249,7 @@
         let end = Instant::now() + PATIENCE;
         while !holds() {
             assert!(Instant::now() < end, "not within {PATIENCE:?}: {what}");
+            self.assert_running(what);
             std::thread::sleep(POLL);
         }
     }
@@ -254,8 +260,20 @@
         process.expect("a running host").kill();
     }
 
+    /// Fail at once, with its log, if a host's process has ended by itself
+    fn assert_running(&self, what: &str) {
+        for (name, host) in &self.hosts {
+            if !host.stopping && host.process.as_ref().is_some_and(Process::is_over) {
+                let log = self.directory.join(format!("{name}.log"));
+                let log = std::fs::read_to_string(log).unwrap_or_default();
+                panic!("{name} ended while waiting for {what}: {log}");
+            }
+        }
+    }
+
     /// Begin a planned stop of an entry host
     pub fn terminate(&mut self, name: &str) {
+        self.host_mut(name).stopping = true;
         self.signal(name, "TERM");
     }
 
--- a/tests/fleet/process.rs
+++ b/tests/fleet/process.rs
@@ -72,6 +72,12 @@
         self.child.try_wait().expect("a child").is_some()
     }
 
+    /// Whether it has ended and nobody has waited for it yet
+    pub fn is_over(&self) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        stat.is_ok_and(|stat| stat.contains(") Z "))
+    }
+
     /// Wait for its end; whether it came in time and with success
     pub fn ends_well(&mut self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -210,7 +210,7 @@
         let until = Instant::now() + PATIENCE;
         while Instant::now() < until {
             let gate = &mut self.gates[index];
-            let ended = gate.process.as_mut().is_some_and(Process::has_ended);
+            let ended = gate.process.as_mut().is_some_and(Process::is_over);
             assert!(!ended, "host {index} ended: {}", self.log(index));
             let gate = &self.gates[index];
             if get(SocketAddr::new(gate.ip, 8167), "/readiness")
--- a/tests/site/process.rs
+++ b/tests/site/process.rs
@@ -42,7 +42,7 @@
     }
 
     /// Whether it has ended
-    pub fn has_ended(&mut self) -> bool {
+    pub fn is_over(&mut self) -> bool {
         self.0.try_wait().expect("a child").is_some()
     }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -81,7 +81,11 @@
     let server = rng.usize(..site.servers.len());
     match fault {
         Fault::Terminate | Fault::Kill | Fault::Pause => {
+            // One that was struck before may be gone already.
             let process = site.gates[gate].process.as_mut()?;
+            if process.is_over() {
+                return None;
+            }
             match fault {
                 Fault::Terminate => process.signal("TERM"),
                 Fault::Kill => process.kill(),
@@ -163,7 +167,9 @@
             site.launch(gate);
         }
         Undo::Resume(gate) => {
-            if let Some(process) = &site.gates[gate].process {
+            if let Some(process) = &mut site.gates[gate].process
+                && !process.is_over()
+            {
                 process.signal("CONT");
             }
         }
