Refuse at once what is expected to end after its time

Cause: only the wait was held against the deadline, so work began that could not end in time and kept slots from others.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -147,7 +147,7 @@
                     None => self.refuse("no endpoint", Duration::from_millis(400)),
                 };
             };
-            if self.tried.is_empty() && now + choice.wait >= self.until {
+            if self.tried.is_empty() && now + choice.time >= self.until {
                 return self.refuse("no room", choice.wait);
             }
             let failure = match self.attempt(upload, endpoint, &choice).await {
