--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,6 +8,7 @@
 
 use displaydoc::Display;
 use smol::future::FutureExt;
+use smol::io::AsyncWriteExt;
 
 use super::Gateway;
 use super::upload::{Unsent, Upload};
@@ -149,8 +150,6 @@
 pub struct Limits {
     /// When no answer is waited for any more
     pub until: Instant,
-    /// When the request ends for the caller
-    pub deadline: Instant,
     /// Whether the request may run again
     pub idempotent: bool,
 }
@@ -236,7 +235,7 @@
 ) -> Result<(Connection, Answer, bool), Failure> {
     let broken = |error: &dyn std::fmt::Display| Failure::Broken(error.to_string());
     let now = Instant::now();
-    let left = limits.deadline.saturating_duration_since(now);
+    let left = limits.until.saturating_duration_since(now);
     let headers = header::forwarded(request, &place.endpoint.id, left);
     let mut head = format!("{} {} HTTP/1.1\r\n", request.method, request.target).into_bytes();
     headers.write(&mut head);
@@ -249,9 +248,7 @@
     let uploaded = std::cell::Cell::new(false);
     let mut out = connection.writer();
     let sending = async {
-        connection_write(&mut out, &head)
-            .await
-            .map_err(|e| broken(&e))?;
+        out.write_all(&head).await.map_err(|error| broken(&error))?;
         if let Upload::Stream { .. } = upload {
             let sent = upload.send(&mut out).await;
             sent.map_err(|unsent| match unsent {
@@ -282,11 +279,6 @@
     Ok((connection, answer, uploaded.get()))
 }
 
-async fn connection_write(out: &mut smol::net::TcpStream, bytes: &[u8]) -> std::io::Result<()> {
-    use smol::io::AsyncWriteExt;
-    out.write_all(bytes).await
-}
-
 /// Read the answer's body as far as it is collected
 async fn collect(
     gateway: &Rc<Gateway>,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -246,7 +246,6 @@
         let patience = (choice.time + self.work(Work::cold) * PATIENCE).max(LEAST_PATIENCE);
         let limits = Limits {
             until: self.until,
-            deadline: self.until,
             idempotent: self.is_idempotent(),
         };
         let rank = self.object.map(|_| choice.rank);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,10 +5,11 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
+use prometheus::Registry;
 use serde_json::json;
 
 use super::Gateway;
+use crate::operator::metrics::{encode, exporter};
 use crate::platform::store::Kind;
 
 /// Bounds of the latency histogram, in seconds
@@ -35,14 +36,7 @@
 impl Metrics {
     /// Metrics that count from zero
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .scope_info_enabled(false)
-            .without_target_info()
-            .build()
-            .expect("a new registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = exporter();
         let meter = provider.meter("tanagerpier");
         let counter = |name, text| meter.u64_counter(name).with_description(text).build();
         Self {
@@ -94,12 +88,7 @@
         for (item, value) in items(gateway) {
             self.gauge.record(value, &[KeyValue::new("item", item)]);
         }
-        let mut text = String::new();
-        let encoded = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text);
-        if let Err(error) = encoded {
-            log::warn!("metrics cannot be encoded: {error}");
-        }
-        text
+        encode(&self.registry)
     }
 
     /// What this host believes, as JSON
--- a/src/operator/metrics.rs
+++ b/src/operator/metrics.rs
@@ -64,6 +64,29 @@
     control_time: Counter<f64>,
 }
 
+/// A registry, and the provider whose meters it collects
+pub fn exporter() -> (Registry, SdkMeterProvider) {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .scope_info_enabled(false)
+        .without_target_info()
+        .build()
+        .expect("a new registry takes the exporter");
+    let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+    (registry, provider)
+}
+
+/// All metrics of a registry in the text format
+pub fn encode(registry: &Registry) -> String {
+    let mut text = String::new();
+    let encoded = TextEncoder::new().encode_utf8(&registry.gather(), &mut text);
+    if let Err(error) = encoded {
+        log::warn!("metrics cannot be encoded: {error}");
+    }
+    text
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
@@ -73,14 +96,7 @@
 impl Metrics {
     /// Metrics that count from zero
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .scope_info_enabled(false)
-            .without_target_info()
-            .build()
-            .expect("a new registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let (registry, provider) = exporter();
         let meter = provider.meter("tanagerpier");
         let status = Arc::default();
         observe(&meter, &status);
@@ -161,12 +177,7 @@
     /// All metrics as text, with the figures of `status`
     pub fn text(&self, status: Status) -> String {
         *lock(&self.status) = status;
-        let mut text = String::new();
-        let encoded = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text);
-        if let Err(error) = encoded {
-            log::warn!("metrics cannot be encoded: {error}");
-        }
-        text
+        encode(&self.registry)
     }
 
     /// Stop counting
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -18,7 +18,7 @@
 use crate::id::{BlockId, ServiceId};
 
 mod explain;
-mod metrics;
+pub mod metrics;
 mod port;
 mod status;
 
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -8,6 +8,7 @@
 
 use serde_json::json;
 use smol::Timer;
+use tanagerpier::platform::standin::endpoint;
 use tanagerpier::platform::standin::store::{Faults, Outage};
 
 use site::client::{self, Attempt, Log};
@@ -182,6 +183,30 @@
     });
 }
 
+#[test]
+fn a_slow_answer_is_waited_for_where_no_second_attempt_is_allowed() {
+    smol::block_on(async {
+        let site = Site::start_with(1, 1, 0).await;
+        for server in &site.servers {
+            server.endpoint.set_faults(endpoint::Faults {
+                // 1.4 s, longer than the patience with one attempt and within the route's timeout.
+                slow: 70,
+                ..endpoint::Faults::default()
+            });
+        }
+        let address = SocketAddr::new(site.gates[0].ip, 8161);
+        for object in 0..4 {
+            let answer = site::get(address, &format!("/safe/{object}")).await;
+            assert_eq!(
+                answer.map(|(status, _)| status),
+                Some(200),
+                "{}",
+                site.log(0)
+            );
+        }
+    });
+}
+
 #[test]
 fn long_bodies_stream_and_a_failed_request_is_found_by_its_id() {
     smol::block_on(async {
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -65,6 +65,8 @@
     pub gates: Vec<Gate>,
     pub servers: Vec<Server>,
     pub version: u64,
+    /// Second attempts of the whole fleet that are always allowed
+    retry_slack: u32,
     directory: PathBuf,
     net: [u8; 2],
 }
@@ -72,6 +74,11 @@
 impl Site {
     /// Start `gates` hosts and `servers` endpoints in each region, and wait until they serve
     pub async fn start(gates: u8, servers: u8) -> Self {
+        Self::start_with(gates, servers, 60).await
+    }
+
+    /// The same with so many second attempts that are always allowed
+    pub async fn start_with(gates: u8, servers: u8, retry_slack: u32) -> Self {
         let net = free_net().await;
         let store = Store::new();
         let store_address = store
@@ -85,6 +92,7 @@
             gates: Vec::new(),
             servers: Vec::new(),
             version: 0,
+            retry_slack,
             directory,
             net,
         };
@@ -193,12 +201,13 @@
              zones: {{{zones}}}\nlisten:\n  frontend: \"{ip}:8161\"\n  readiness: \"{ip}:8167\"\n  \
              control_plane: \"{ip}:8166\"\n  directory: \"{ip}:8164\"\n\
              internal_ports: [7720, 7735]\nseeds: [{seeds}]\n\
-             bounds: {{grace_s: {GRACE}, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 60}}\n\
+             bounds: {{grace_s: {GRACE}, retry_ratio: 0.2, retry_window_s: 10, retry_slack: {slack}}}\n\
              platform: {{address: \"{store}\"}}\n",
             name = gate.name,
             region = gate.region,
             seeds = seeds.join(", "),
             store = gate.store.address,
+            slack = self.retry_slack,
         );
         let file = self.directory.join(format!("{}.yaml", gate.name));
         std::fs::write(&file, settings).expect("settings are written");
