--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -355,11 +355,18 @@
         if gateway.document().is_some() && !gateway.catalog.borrow().is_empty() {
             return;
         }
+        // A mirror is large; while the store answers, however slowly, it is the better source.
+        if !gateway.mirror.borrow().is_dark() {
+            continue;
+        }
         let own = gateway.settings.borrow().control;
         let seeds = gateway.settings.borrow().seeds.clone();
         for seed in seeds.into_iter().filter(|seed| Some(*seed) != own) {
             match ask(seed).await {
-                Ok(mirror) => adopt(&gateway, mirror),
+                Ok(mirror) => {
+                    adopt(&gateway, mirror);
+                    break;
+                }
                 Err(error) => log::debug!("{seed} gives no mirror: {error}"),
             }
         }
