Keep a silent host listed until its entry is gone

Cause: a host that met a conflict or no answer while it withdrew an entry dropped the member from its own view. It is now only not named to callers until it is heard or listed anew.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,7 +9,7 @@
 //! of the region. Nothing in them decides more than placement, so they are not authenticated beyond
 //! a check that the sender's address belongs to a listed host.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -86,6 +86,8 @@
     heard: BTreeMap<HostId, Instant>,
     watched: BTreeMap<HostId, Instant>,
     demand: BTreeMap<HostId, (Instant, RegionId, BTreeMap<ServiceId, f32>)>,
+    /// Listed hosts that stay silent; not named to callers until they are heard or listed anew
+    lost: BTreeSet<HostId>,
 }
 
 impl Fleet {
@@ -108,10 +110,12 @@
         self.heard.retain(|host, _| members.contains_key(host));
         self.watched.retain(|host, _| members.contains_key(host));
         self.demand.retain(|host, _| members.contains_key(host));
+        self.lost.retain(|host| members.contains_key(host));
     }
 
     /// Take one entry
     pub fn put(&mut self, member: Member) {
+        self.lost.remove(&member.host);
         self.members.insert(member.host.clone(), member);
     }
 
@@ -120,9 +124,18 @@
         self.demand.remove(host);
         self.heard.remove(host);
         self.watched.remove(host);
+        self.lost.remove(host);
         self.members.remove(host).is_some()
     }
 
+    /// A host stays silent, whatever the store says of it
+    ///
+    /// It stays listed, so that it counts again as soon as it is heard.
+    pub fn lose(&mut self, now: Instant, host: &HostId) {
+        self.lost.insert(host.clone());
+        self.watched.insert(host.clone(), now);
+    }
+
     /// Own entry as the store has it
     pub fn own(&self) -> Option<&Member> {
         self.members.get(&self.own)
@@ -198,6 +211,7 @@
     /// A datagram of a host came
     pub fn hear(&mut self, now: Instant, report: &Report) {
         self.heard.insert(report.host.clone(), now);
+        self.lost.remove(&report.host);
         let told = (now, report.region.clone(), report.demand.clone());
         self.demand.insert(report.host.clone(), told);
     }
@@ -267,9 +281,14 @@
         let near: Vec<&Member> = self
             .members
             .values()
+            .filter(|member| !self.lost.contains(&member.host))
             .filter(|member| member.region == region)
             .collect();
-        let all = || self.members.values().collect();
+        let all = || {
+            let live = self.members.values();
+            live.filter(|member| !self.lost.contains(&member.host))
+                .collect()
+        };
         let hosts: Vec<&Member> = if near.is_empty() { all() } else { near };
         // Weighted sample without replacement: the largest keys of u^(1/w).
         let mut keyed: Vec<(f64, &Member)> = hosts
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -113,6 +113,24 @@
     }
 }
 
+#[test]
+fn a_silent_host_whose_entry_stays_counts_again_once_it_is_heard() {
+    let now = Instant::now();
+    let mut fleet = fleet("h0", 2);
+    let mut rng = fastrand::Rng::with_seed(1);
+    fleet.lose(now, &"h1".into());
+    assert!(
+        fleet.directory("b", 8, &mut rng).len() == 1,
+        "only the other region's host"
+    );
+    assert!(
+        fleet.knows(&"h1".into(), IpAddr::from([127, 0, 0, 1])),
+        "its pings count"
+    );
+    fleet.hear(now, &report("h1"));
+    assert_eq!(fleet.directory("", 8, &mut rng).len(), 2);
+}
+
 #[test]
 fn each_host_is_watched_by_as_many_as_it_watches() {
     for hosts in [2, 5, 30] {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -260,18 +260,13 @@
     let fields = [("host", member.host.as_str().into())];
     gateway.recorder.event("host-silent", &fields);
     let revision = Some(member.revision).filter(|revision| *revision > 0);
-    match session.delete(Kind::Hosts, &member.host, revision).await {
-        // A conflict means that the host wrote its entry anew, so it lives.
-        Ok(()) | Err(Error::Conflict) => {
-            gateway.fleet.borrow_mut().remove(&member.host);
-            gateway.pool.borrow_mut().forget_host(&member.host);
-        }
-        Err(error) => {
-            log::debug!("entry of {} is not withdrawn: {error}", member.host);
-            session.reset();
-            // This host stops naming it; the entry goes once the store answers.
-            gateway.fleet.borrow_mut().remove(&member.host);
-        }
+    let now = Instant::now();
+    gateway.fleet.borrow_mut().lose(now, &member.host);
+    gateway.pool.borrow_mut().forget_host(&member.host);
+    // The watch tells when the entry is gone. A conflict means that the host wrote it anew.
+    if let Err(error) = session.delete(Kind::Hosts, &member.host, revision).await {
+        log::debug!("entry of {} is not withdrawn: {error}", member.host);
+        session.reset();
     }
 }
 
