Log refused requests too, count lines that are left out, and bound the bytes

Cause: requests refused before an endpoint was looked for (no route, no configuration, quarantine, stopping host) left no line, found while writing the test of a full pipe; lines dropped by a full queue were not counted; the budget held for lines of decisions, not for bytes. Test on real processes: standard output is a pipe that is full for 30 s, all requests are answered, the refused ones within 2 s each.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -63,11 +63,34 @@
 ) -> Reply {
     let mut journey = match plan(gateway, request, upload, arrived) {
         Ok(journey) => journey,
-        Err(refusal) => return Reply::Own(refusal),
+        Err(refusal) => {
+            tell(gateway, request, &refusal, arrived);
+            return Reply::Own(refusal);
+        }
     };
     journey.run(upload).await
 }
 
+/// Record a request that was refused before a region or an endpoint was looked for
+fn tell(gateway: &Gateway, request: &Request, refusal: &Refusal, arrived: Instant) {
+    let took = arrived.elapsed();
+    gateway.metrics.request("-", refusal.status, took);
+    gateway.recorder.request(&record::Line {
+        id: header::attempt(&request.headers).unwrap_or("-"),
+        route: "-",
+        service: "-",
+        status: refusal.status,
+        outcome: refusal.reason,
+        took,
+        tried: &[],
+        region: "-",
+        expected: None,
+        left: Duration::ZERO,
+        version: gateway.version(),
+        dark: gateway.mirror.borrow().is_dark(),
+    });
+}
+
 fn plan<'a>(
     gateway: &'a Rc<Gateway>,
     request: &'a Request,
@@ -376,6 +399,8 @@
             region: self.region.as_deref().unwrap_or("-"),
             expected: self.expected,
             left: self.until.saturating_duration_since(Instant::now()),
+            version: self.gateway.version(),
+            dark: self.gateway.mirror.borrow().is_dark(),
         });
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -124,9 +124,8 @@
 }
 
 fn items(gateway: &Gateway) -> Vec<(&'static str, u64)> {
-    let version = gateway.document().map_or(0, |document| document.version);
     vec![
-        ("configuration_version", version),
+        ("configuration_version", gateway.version()),
         ("endpoints", gateway.catalog.borrow().len() as u64),
         ("hosts", gateway.fleet.borrow().size() as u64),
         ("store_dark", u64::from(gateway.mirror.borrow().is_dark())),
@@ -134,5 +133,6 @@
         ("running", gateway.running.get() as u64),
         ("caller_connections", gateway.open.get() as u64),
         ("idle_connections", gateway.idle.borrow().len() as u64),
+        ("log_lines_lost", super::log::lost()),
     ]
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod exchange;
 mod forward;
 mod idle;
+mod log;
 mod metrics;
 mod mirror;
 mod peers;
@@ -140,6 +141,11 @@
         self.document.borrow().clone()
     }
 
+    /// Version of the configuration in force, 0 for none
+    pub fn version(&self) -> u64 {
+        self.document().map_or(0, |document| document.version)
+    }
+
     /// Put a configuration in force if its version is higher; says whether it did
     pub fn apply(&self, document: Document) -> bool {
         let mut current = self.document.borrow_mut();
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -47,6 +47,10 @@
     pub expected: Option<(usize, Duration, Duration)>,
     /// Time that was left of the deadline
     pub left: Duration,
+    /// Version of the configuration in force, 0 for none
+    pub version: u64,
+    /// Whether the store could not be read, so that what is believed may be old
+    pub dark: bool,
 }
 
 /// Budget of lines
@@ -107,6 +111,8 @@
             "rank": line.expected.map(|(rank, ..)| rank),
             "wait_ms": line.expected.map(|(_, wait, _)| wait.as_millis() as u64),
             "expected_ms": line.expected.map(|(.., time)| time.as_millis() as u64),
+            "version": line.version,
+            "store_dark": line.dark,
         });
         log::info!(target: TARGET, "{text}");
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -7,23 +7,18 @@
 use std::time::Duration;
 
 use async_signal::{Signal, Signals};
-use flexi_logger::writers::LogWriter;
-use flexi_logger::{DeferredNow, Logger, LoggerHandle};
-use smol::channel::{Sender, bounded};
+use smol::channel::bounded;
 use smol::future::FutureExt;
 use smol::net::{TcpListener, UdpSocket};
 use smol::stream::StreamExt;
 use smol::{LocalExecutor, Timer};
 
 use super::ports::Port;
-use super::{Gateway, accept, peers, ports, probe, record, stop, watch};
+use super::{Gateway, accept, log as output, peers, ports, probe, stop, watch};
 use crate::error::Error;
 use crate::platform::node;
 use crate::platform::store::Kind;
 
-/// Lines that wait for standard output; more are dropped, so that no request waits for a reader
-const LOG_QUEUE: usize = 1024;
-
 /// Time between two looks at the settings file
 const LOOK: Duration = Duration::from_secs(2);
 
@@ -45,7 +40,7 @@
 
 /// Run a gateway until it is told to stop
 pub fn run(options: &Options) -> Result<(), Error> {
-    let _log = log(&options.log)?;
+    let _log = output::start(&options.log)?;
     let executor = Rc::new(LocalExecutor::new());
     smol::block_on(executor.clone().run(serve(options, executor)))
 }
@@ -166,48 +161,3 @@
         "cannot listen on {address}: {error}; free the address"
     ))
 }
-
-/// Log to standard output through a queue and a thread, so that a slow reader blocks nothing
-fn log(level: &str) -> Result<LoggerHandle, Error> {
-    let usage = |error: flexi_logger::FlexiLoggerError| {
-        Error::Usage(format!("log: {error}; use a level such as info"))
-    };
-    let (lines, queue) = bounded::<String>(LOG_QUEUE);
-    std::thread::spawn(move || {
-        use std::io::Write;
-        while let Ok(line) = queue.recv_blocking() {
-            // Standard output may be closed; there is nowhere left to tell it.
-            let _ = std::io::stdout().write_all(line.as_bytes());
-        }
-    });
-    let logger = Logger::try_with_str(level).map_err(usage)?;
-    let writer = Box::new(Queue(lines));
-    logger.log_to_writer(writer).start().map_err(usage)
-}
-
-/// Log writer that drops lines when its queue is full
-struct Queue(Sender<String>);
-
-impl LogWriter for Queue {
-    fn write(&self, now: &mut DeferredNow, record: &log::Record<'_>) -> std::io::Result<()> {
-        let time = now.now().to_rfc3339();
-        let line = match record.target() {
-            record::TARGET => format!("{{\"t\":\"{time}\",\"decision\":{}}}\n", record.args()),
-            target => {
-                let message = record.args().to_string();
-                let level = record.level().as_str();
-                let line = serde_json::json!({
-                    "t": time, "level": level, "module": target, "message": message,
-                });
-                format!("{line}\n")
-            }
-        };
-        // A full queue means that nobody reads; the line is lost by design.
-        let _ = self.0.try_send(line);
-        Ok(())
-    }
-
-    fn flush(&self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -3,6 +3,7 @@
 mod site;
 
 use std::collections::BTreeSet;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -265,3 +266,46 @@
         assert_eq!(status, 200);
     });
 }
+
+/// The pipe is full from the first line on, for 30 s; failed requests make the most lines
+#[test]
+fn a_log_that_nobody_reads_delays_no_request() {
+    const TIME: Duration = Duration::from_secs(30);
+    smol::block_on(async {
+        let mut site = Site::start(1, 2).await;
+        let (reader, writer) = std::io::pipe().expect("a pipe");
+        let mut filler = writer.try_clone().expect("a second handle");
+        // It waits for room and takes it all, until the reader is gone.
+        std::thread::spawn(move || while filler.write_all(&[b'\n'; 4096]).is_ok() {});
+        site.gates[0].process = None;
+        site.launch_with(0, Some(writer.into()));
+        site.ready(0).await;
+        let address = SocketAddr::new(site.gates[0].ip, 8161);
+        let end = Instant::now() + TIME;
+        let log = Log::default();
+        let served = client::run(address, 5, end, Duration::from_millis(20), log.clone());
+        let refused = (0..3).map(|_| {
+            smol::spawn(async move {
+                while Instant::now() < end {
+                    // No answer within 2 s would be `None`.
+                    let answer = site::get(address, "/unknown/").await;
+                    assert_eq!(answer.map(|(status, _)| status), Some(404));
+                    Timer::after(Duration::from_millis(10)).await;
+                }
+            })
+        });
+        let refused: Vec<smol::Task<()>> = refused.collect();
+        served.await;
+        for caller in refused {
+            caller.await;
+        }
+        let attempts = attempts(&log);
+        assert!(failed(&attempts).is_empty(), "{:?}", failed(&attempts));
+        let metrics = SocketAddr::new(site.gates[0].ip, 9464);
+        let (_, status) = site::get(metrics, "/status").await.expect("status");
+        let status: serde_json::Value = serde_json::from_slice(&status).expect("JSON");
+        let lost = status["state"]["log_lines_lost"].as_u64();
+        assert!(lost.is_some_and(|lost| lost > 0), "{status}");
+        drop(reader);
+    });
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -12,6 +12,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::process::Stdio;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -185,6 +186,11 @@
 
     /// Start the process of a host
     pub fn launch(&mut self, index: usize) {
+        self.launch_with(index, None);
+    }
+
+    /// The same with its log going elsewhere than to a file
+    pub fn launch_with(&mut self, index: usize, output: Option<Stdio>) {
         let seeds: Vec<String> = self
             .gates
             .iter()
@@ -211,7 +217,7 @@
         );
         let file = self.directory.join(format!("{}.yaml", gate.name));
         std::fs::write(&file, settings).expect("settings are written");
-        gate.process = Some(Process::gate(&self.directory, &gate.name, &file));
+        gate.process = Some(Process::gate(&self.directory, &gate.name, &file, output));
     }
 
     /// Wait until a host is ready; fails at once if its process has ended
--- a/tests/site/process.rs
+++ b/tests/site/process.rs
@@ -9,8 +9,8 @@
 pub struct Process(Child);
 
 impl Process {
-    /// Start a host with a log file of its own
-    pub fn gate(directory: &Path, name: &str, settings: &Path) -> Self {
+    /// Start a host with a log file of its own, or with its log going elsewhere
+    pub fn gate(directory: &Path, name: &str, settings: &Path, output: Option<Stdio>) -> Self {
         let log = File::options()
             .append(true)
             .create(true)
@@ -20,7 +20,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_pier-gate"))
             .env("TANAGERPIER_NODE_FILE", settings)
             .stdin(Stdio::null())
-            .stdout(log)
+            .stdout(output.unwrap_or_else(|| log.into()))
             .stderr(errors)
             .spawn();
         Self(child.expect("the process starts"))
