Follow strong hosts for the store's objects

Load pattern: both hosts of a region that read the store lose it, or one of two is lost, and all others turn to one host at once.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -31,6 +31,10 @@
 /// Hosts of a region that follow the store itself; two, so that one may fail unnoticed
 pub const READERS: usize = 2;
 
+/// Part of the strongest host's weight from which a host counts as strong; machines come in few
+/// sizes, apart by more than that
+const STRONG: f64 = 0.5;
+
 /// Time between two pings to a watched host
 pub const PING: Duration = Duration::from_millis(500);
 
@@ -188,7 +192,9 @@
     ///
     /// The store counts each waiting watch, so their number must not grow with the fleet.
     ///
-    /// A host that was not heard for `term` may be cut off, and others had better not follow it.
+    /// A host that was not heard for `term` may be cut off, and others had better not follow it. A
+    /// weak host is none either: when many turn to it at once, as after the loss of the other, the
+    /// lists that it sends would hold up its own reports, and it would seem lost too.
     pub fn readers(&self, now: Instant, region: &str, term: Duration) -> Vec<&Member> {
         let heard = |member: &&Member| {
             let at = self.heard.get(&member.host);
@@ -198,10 +204,17 @@
             .members
             .values()
             .filter(|member| member.region == region);
-        let near = near.filter(heard);
-        let mut scored: Vec<(u64, &Member)> = near
+        let near: Vec<&Member> = near
+            .filter(heard)
             .filter(|member| member.control.is_some())
-            .map(|member| (stable_hash(&("reader", &member.host)), member))
+            .collect();
+        let strongest = near.iter().map(|member| member.weight).fold(0.0, f64::max);
+        let mut scored: Vec<((bool, u64), &Member)> = near
+            .into_iter()
+            .map(|member| {
+                let weak = member.weight < strongest * STRONG;
+                ((weak, stable_hash(&("reader", &member.host))), member)
+            })
             .collect();
         scored.sort_by(|(a, one), (b, other)| a.cmp(b).then(one.host.cmp(&other.host)));
         scored.truncate(READERS);
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -183,6 +183,55 @@
     );
 }
 
+/// A weak reader that many hosts turn to at once falls silent, and they turn away again
+#[test]
+fn weak_hosts_are_readers_only_where_strong_ones_lack() {
+    struct Case {
+        name: &'static str,
+        strong: usize,
+        /// Strong hosts among the readers
+        chosen: usize,
+    }
+    let cases = [
+        Case {
+            name: "all alike",
+            strong: 0,
+            chosen: 0,
+        },
+        Case {
+            name: "one strong host",
+            strong: 1,
+            chosen: 1,
+        },
+        Case {
+            name: "enough strong hosts",
+            strong: 4,
+            chosen: READERS,
+        },
+    ];
+    let now = Instant::now();
+    let term = Duration::from_millis(700);
+    for case in cases {
+        let mut fleet = Fleet::new("x".into());
+        let list = (0..20).map(|i| Member {
+            weight: if usize::from(i) < case.strong {
+                0.5
+            } else {
+                0.1
+            },
+            ..member(&format!("h{i}"), "a", i)
+        });
+        fleet.replace(list.collect());
+        for i in 0..20 {
+            fleet.hear(now, &report(&format!("h{i}")));
+        }
+        let readers = fleet.readers(now, "a", term);
+        assert_eq!(readers.len(), READERS, "{}", case.name);
+        let strong = readers.iter().filter(|member| member.weight > 0.3).count();
+        assert_eq!(strong, case.chosen, "{}", case.name);
+    }
+}
+
 #[test]
 fn callers_hear_of_their_region_and_of_strong_hosts_more_often() {
     let mut fleet = Fleet::new("x".into());
