Random tests of the readers of objects, settings, heads and bodies

Seeded, so each run gives the same verdict: damaged entries name what they say or nothing, a damaged configuration never lets an unknown kind of request run twice, the network's cuts change no request, and a stream that ends early gives only whole ones. Tests of message and platform became folders.

--- a/src/message/tests.rs
+++ b/src/message/tests/mod.rs
@@ -7,6 +7,8 @@
 
 use super::*;
 
+mod random;
+
 /// A connection whose other side sent `bytes` and closed, with pauses between the pieces
 async fn fed(pieces: Vec<Vec<u8>>) -> Connection {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/src/platform/tests.rs
+++ b/src/platform/tests/mod.rs
@@ -11,6 +11,8 @@
 use crate::message::{Answer, Request};
 use crate::policy::Repeat;
 
+mod random;
+
 const SETTINGS: &str = r#"
 node_name: "edge-a-1"
 role: "gate"
