--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod args;
 pub mod control;
+pub mod fault;
 pub mod platform;
 pub mod ports;
 pub mod record;
