Begin the shares of a starting fleet from a like demand of all regions

Load pattern: a fleet starts, and the first requests of one region are counted before those of the others. The like demand that stands in for an unknown one was used only while all were exactly zero. Now it fills in for 2 s from a host's first request while less than half of the usual demand is known. The test fails before at 'first requests elsewhere' and 'first requests here' (home share 1.0).

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -365,7 +365,9 @@
         for (region, demand) in self.fleet.borrow().demand(now, service) {
             rooms.entry(region).or_default().demand = demand;
         }
-        region::assume(&mut rooms);
+        let ramps = self.ramps.borrow();
+        let is_young = ramps.get(service).is_none_or(|ramp| ramp.is_young(now));
+        region::assume(&mut rooms, is_young);
         rooms
     }
 }
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -37,6 +37,13 @@
 /// Expected time, in seconds, that it costs to send an object to a region that does not keep it
 pub const STRANGE: f64 = 0.2;
 
+/// Time from its first request in which a host has only begun to count; twice the time in which a
+/// rise of demand is taken in
+const YOUNG: Duration = Duration::from_secs(2);
+
+/// Part of the usual demand from which on the measured one counts in that time
+const KNOWN: f64 = 0.5;
+
 /// Least time between two steps
 const STEP: Duration = Duration::from_millis(100);
 
@@ -88,22 +95,29 @@
     shares
 }
 
-/// Fill in a like demand for all regions where none is known yet, as after a start of the fleet
+/// Fill in a like demand for all regions where little is known yet, as after a start of the fleet
 ///
-/// Shares begin near where they will be, instead of moving there within the cap.
-pub fn assume(rooms: &mut BTreeMap<RegionId, Room>) {
-    if rooms.values().any(|room| room.demand > 0.0) || rooms.is_empty() {
+/// Load pattern: a fleet starts, and the first requests of a region are counted before those of
+/// others. Shares begin near where they will be, instead of moving there within the cap, which takes
+/// a region with too few slots ten seconds. `is_young` says that this host has only begun to count;
+/// later, little demand is little demand.
+pub fn assume(rooms: &mut BTreeMap<RegionId, Room>, is_young: bool) {
+    let slots: f64 = rooms.values().map(|room| room.slots).sum();
+    let usual = slots * HOME_USE;
+    let known: f64 = rooms.values().map(|room| room.demand).sum();
+    if known > 0.0 && !(is_young && known < usual * KNOWN) {
         return;
     }
-    let slots: f64 = rooms.values().map(|room| room.slots).sum();
-    let each = slots * HOME_USE / rooms.len() as f64;
-    rooms.values_mut().for_each(|room| room.demand = each);
+    let each = usual / rooms.len().max(1) as f64;
+    let fill = |room: &mut Room| room.demand = room.demand.max(each);
+    rooms.values_mut().for_each(fill);
 }
 
 /// Shares on their way to a target, and the rotation that keeps to them
 #[derive(Clone, Debug, Default)]
 pub struct Ramp {
     shares: Shares,
+    begun: Option<Instant>,
     moved: Option<Instant>,
     told: Shares,
     credit: BTreeMap<RegionId, f64>,
@@ -115,6 +129,12 @@
         Self::default()
     }
 
+    /// Whether it began so lately that measured demand says little
+    pub fn is_young(&self, now: Instant) -> bool {
+        let begun = self.begun.unwrap_or(now);
+        now.saturating_duration_since(begun) < YOUNG
+    }
+
     /// Shares in force
     pub fn shares(&self) -> &Shares {
         &self.shares
@@ -138,6 +158,7 @@
     pub fn step(&mut self, now: Instant, target: &Shares, usable: impl Fn(&RegionId) -> bool) {
         let Some(moved) = self.moved else {
             self.shares = target.clone();
+            self.begun = Some(now);
             self.moved = Some(now);
             return;
         };
--- a/src/region/tests.rs
+++ b/src/region/tests.rs
@@ -65,6 +65,63 @@
     }
 }
 
+/// The first requests of a fleet that starts are counted in one region before the others
+#[test]
+fn a_small_region_begins_with_a_share_of_the_others() {
+    struct Case {
+        name: &'static str,
+        is_young: bool,
+        demand: [f64; 3],
+        home: (f64, f64),
+    }
+    let cases = [
+        Case {
+            name: "nothing is known",
+            is_young: true,
+            demand: [0.0, 0.0, 0.0],
+            home: (0.3, 0.5),
+        },
+        Case {
+            name: "first requests elsewhere",
+            is_young: true,
+            demand: [0.0, 1.2, 0.6],
+            home: (0.3, 0.5),
+        },
+        Case {
+            name: "first requests here",
+            is_young: true,
+            demand: [7.6, 0.0, 0.0],
+            home: (0.3, 0.5),
+        },
+        Case {
+            name: "a host starts in a fleet that knows its demand",
+            is_young: true,
+            demand: [5.0, 30.0, 20.0],
+            home: (1.0, 1.0),
+        },
+        Case {
+            name: "a calm night",
+            is_young: false,
+            demand: [1.0, 1.2, 0.6],
+            home: (1.0, 1.0),
+        },
+    ];
+    for case in cases {
+        let [a, b, c] = case.demand;
+        let mut rooms = rooms(&[("a", 12.0, a), ("b", 48.0, b), ("c", 42.0, c)]);
+        assume(&mut rooms, case.is_young);
+        let home = share(&target(&"a".into(), &rooms), "a");
+        let (least, most) = case.home;
+        assert!(home >= least && home <= most, "{}: {home}", case.name);
+    }
+    let mut ramp = Ramp::new();
+    let start = Instant::now();
+    assert!(ramp.is_young(start));
+    ramp.step(start, &[("a".into(), 1.0)].into(), |_| true);
+    assert!(ramp.is_young(start + Duration::from_secs(1)));
+    assert!(!ramp.is_young(start + Duration::from_secs(3)));
+}
+
 #[test]
 fn shares_move_within_the_cap_unless_a_region_is_lost() {
     let start = Instant::now();
