Leave the list of a reader that does not answer

Cause: since lists are no longer broken off when others are ahead, a host that waited for the list of a busy reader stayed with it for 1.5 s, and with the next one again, instead of going to the store after 0.35 s. Only the store's own lists may not be broken off; those of readers may.

--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -122,11 +122,12 @@
         let source = sources[progress.turn % sources.len()];
         session.redirect(source.address);
         let step = async { Some(step(&gateway, &mut session, kind, &progress, source).await) };
-        let lists = progress.revision.is_none();
+        let lists = source.direct && progress.revision.is_none();
         let kicked = async {
             if lists {
-                // A list brings what others know, though slowly over a busy link. To begin it anew
-                // with each of their changes would never end. The message waits for its end.
+                // The store's list brings what others know, though slowly over a busy link. To begin
+                // it anew with each of their changes would never end. The message waits for its end.
+                // A reader may be too busy to answer, so its list may be left.
                 return std::future::pending().await;
             }
             // The sender lives as long as the process.
