--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -193,8 +193,8 @@
     /// The store counts each waiting watch, so their number must not grow with the fleet.
     ///
     /// A host that was not heard for `term` may be cut off, and others had better not follow it. A
-    /// weak host is none either: when many turn to it at once, as after the loss of the other, the
-    /// lists that it sends would hold up its own reports, and it would seem lost too.
+    /// weak host is one only where strong ones lack: when many turn to it at once, as after the loss
+    /// of the other, the lists that it sends hold up its own reports, and it seems lost too.
     pub fn readers(&self, now: Instant, region: &str, term: Duration) -> Vec<&Member> {
         let heard = |member: &&Member| {
             let at = self.heard.get(&member.host);
