Log and count attempts that break at an endpoint, with the quarantine key

Change: events suspect and sent-again, the key in request lines, a counter and two state items; the decisions are as before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -214,7 +214,15 @@
         let sent = send(idle, in_flight, request, upload, limits).await;
         // The endpoint may close an idle connection while the request is being sent on it.
         match sent {
-            Err(Failure::Broken(_)) if limits.idempotent && upload.can_resend() => {}
+            Err(Failure::Broken(error)) if limits.idempotent && upload.can_resend() => {
+                let attempt_id = header::attempt_id(&request.headers).unwrap_or("-");
+                let fields = [
+                    ("id", attempt_id.into()),
+                    ("endpoint", in_flight.endpoint.id.as_str().into()),
+                    ("error", error.into()),
+                ];
+                gateway.recorder.event("sent-again", &fields);
+            }
             sent => return sent,
         }
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -79,6 +79,7 @@
         .observe_request("-", refusal.status, duration);
     gateway.recorder.request(&record::Request {
         attempt_id: header::attempt_id(&request.headers).unwrap_or("-"),
+        key: refusal.quarantine_key,
         route: "-",
         service: "-",
         status: refusal.status,
@@ -129,7 +130,7 @@
         .borrow_mut()
         .retry_after(arrived, quarantine_key)
     {
-        return Err(Refusal::quarantined(quarantined_for));
+        return Err(Refusal::quarantined(quarantine_key, quarantined_for));
     }
     let caller_timeout = header::request_timeout(&request.headers);
     let time_limit = caller_timeout.or(route.timeout).unwrap_or(DEFAULT_TIMEOUT);
@@ -329,15 +330,34 @@
             Err(failure) => {
                 self.run_attempts += 1;
                 self.may_have_run = true;
-                if matches!(failure, Failure::Broken(_)) {
-                    let mut quarantine = self.gateway.quarantine.borrow_mut();
-                    quarantine.record_crash(Instant::now(), self.quarantine_key, &id);
+                if let Failure::Broken(error) = failure {
+                    self.record_crash(&id, error);
                 }
             }
         }
         result
     }
 
+    /// Records that an attempt broke at an endpoint, which may have crashed
+    fn record_crash(&self, endpoint: &EndpointId, error: &str) {
+        let mut quarantine = self.gateway.quarantine.borrow_mut();
+        quarantine.record_crash(Instant::now(), self.quarantine_key, endpoint);
+        let is_refused = quarantine
+            .retry_after(Instant::now(), self.quarantine_key)
+            .is_some();
+        drop(quarantine);
+        self.gateway.metrics.count_suspicion();
+        let attempt_id = header::attempt_id(&self.request.headers).unwrap_or("-");
+        let fields = [
+            ("id", attempt_id.into()),
+            ("key", record::format_key(self.quarantine_key).into()),
+            ("endpoint", endpoint.as_str().into()),
+            ("error", error.into()),
+            ("quarantined", is_refused.into()),
+        ];
+        self.gateway.recorder.event("suspect", &fields);
+    }
+
     /// Returns whether a slow attempt may be abandoned for another one; consumes retry budget
     fn may_abandon(&self, attempt_timeout: Duration) -> bool {
         let now = Instant::now();
@@ -435,6 +455,7 @@
             .observe_request(&self.route.name, status, duration);
         self.gateway.recorder.request(&record::Request {
             attempt_id: header::attempt_id(&self.request.headers).unwrap_or("-"),
+            key: Some(self.quarantine_key),
             route: &self.route.name,
             service: &self.service,
             status,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -25,6 +25,7 @@
     connections: Counter<u64>,
     probes: Counter<u64>,
     store_calls: Counter<u64>,
+    suspicions: Counter<u64>,
     state_gauge: Gauge<u64>,
 }
 
@@ -54,6 +55,10 @@
             connections: counter("pier_gate_connections", "Connections opened to endpoints"),
             probes: counter("pier_gate_probes", "Health checks sent"),
             store_calls: counter("pier_gate_store_calls", "Calls to the store, by kind"),
+            suspicions: counter(
+                "pier_gate_suspicions",
+                "Attempts that broke at an endpoint that may have crashed",
+            ),
             state_gauge: meter
                 .u64_gauge("pier_gate_state")
                 .with_description("What this host knows and does now, by item")
@@ -83,6 +88,11 @@
         self.probes.add(1, &[]);
     }
 
+    /// Counts an attempt that broke at an endpoint that may have crashed
+    pub fn count_suspicion(&self) {
+        self.suspicions.add(1, &[]);
+    }
+
     /// Counts calls to the store
     pub fn count_store_calls(&self, kind: Kind, count: u64) {
         if count > 0 {
@@ -148,6 +158,14 @@
             "idle_connections",
             gateway.idle_connections.borrow().len() as u64,
         ),
+        (
+            "suspect_requests",
+            gateway.quarantine.borrow().suspect_count() as u64,
+        ),
+        (
+            "quarantined_requests",
+            gateway.quarantine.borrow().refused_count() as u64,
+        ),
         ("log_lines_lost", super::log::lost_lines()),
     ]
 }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -9,6 +9,8 @@
 use compact_str::CompactString;
 use serde_json::{Map, Value, json};
 
+use crate::quarantine;
+
 /// Maximum number of lines about failed and refused requests in one interval
 const MAX_FAILED_LINES_PER_SECOND: u32 = 40;
 
@@ -29,6 +31,8 @@
 pub struct Request<'a> {
     /// Id of the caller's attempt
     pub attempt_id: &'a str,
+    /// Quarantine key, which is the same for all repeats of a request; `None` without a route
+    pub key: Option<quarantine::Key>,
     /// Route that matched the request
     pub route: &'a str,
     /// Service that the route selected
@@ -53,6 +57,11 @@
     pub store_unreachable: bool,
 }
 
+/// Returns the text form of a quarantine key
+pub fn format_key(key: quarantine::Key) -> String {
+    format!("{key:016x}")
+}
+
 /// Rate-limited writer of the decision log
 #[derive(Debug)]
 pub struct Recorder(RefCell<Budget>);
@@ -100,6 +109,7 @@
         let text = json!({
             "event": "request",
             "id": request.attempt_id,
+            "key": request.key.map(format_key),
             "route": request.route,
             "service": request.service,
             "status": request.status,
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -10,6 +10,7 @@
 use super::upload::{LAST_CHUNK, encode_chunk};
 use crate::message::{Headers, timeout};
 use crate::platform::header;
+use crate::quarantine;
 
 /// Timeout for one write to a caller
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -38,6 +39,8 @@
     pub reason: &'static str,
     /// Time after which the caller may retry; only if the request did not run
     pub retry_after: Option<Duration>,
+    /// Quarantine key, if the request is refused because of it
+    pub quarantine_key: Option<quarantine::Key>,
 }
 
 impl Refusal {
@@ -47,6 +50,7 @@
             status,
             reason,
             retry_after: None,
+            quarantine_key: None,
         }
     }
 
@@ -58,15 +62,17 @@
             status: 503,
             reason,
             retry_after: Some(wait.mul_f64(1.0 + fastrand::f64())),
+            quarantine_key: None,
         }
     }
 
     /// Creates an answer for a request that is refused because it made endpoints fail
-    pub fn quarantined(time_left: Duration) -> Self {
+    pub fn quarantined(key: quarantine::Key, time_left: Duration) -> Self {
         Self {
             status: 429,
             reason: "request is in quarantine",
             retry_after: Some(time_left),
+            quarantine_key: Some(key),
         }
     }
 }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -164,6 +164,16 @@
         }
     }
 
+    /// Returns the number of suspects
+    pub fn suspect_count(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Returns the number of refused requests
+    pub fn refused_count(&self) -> usize {
+        self.refused.len()
+    }
+
     /// Removes expired suspects and refusals
     pub fn expire(&mut self, now: Instant) {
         self.suspects.retain(|_, suspect| now < suspect.expires_at);
