Failing test: a request that crashed three endpoints is sent again

Change: the stand-in endpoint crashes at a request whose target says so; the test repeats such requests at random hosts, with hosts restarted, paused and cut off and the store away, and counts arrivals by the users' rule (three at most, later than 3 s after the third crash).

--- a/src/platform/standin/endpoint.rs
+++ b/src/platform/standin/endpoint.rs
@@ -1,4 +1,6 @@
 //! Stand-in for an upstream endpoint with slots, a queue, signed responses and injected faults.
+//!
+//! A request whose target contains [`CRASH_MARKER`] crashes the endpoint when it starts to run.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -7,6 +9,7 @@
 
 use serde_json::{Value, json};
 use smol::Timer;
+use smol::channel::{Sender, bounded};
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 
@@ -19,6 +22,9 @@
 /// Maximum size of a request body
 const MAX_BODY_BYTES: usize = 80 << 20;
 
+/// Part of a target that crashes the endpoint
+pub const CRASH_MARKER: &str = "crash";
+
 /// Injected faults; a ratio is the probability per request
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Faults {
@@ -52,6 +58,10 @@
     running: usize,
     waiting: usize,
     faults: Faults,
+    /// Number of starts, which serves as the start time in the endpoint's store object
+    starts: u64,
+    /// Stops the endpoint; `None` while it does not run
+    crash: Option<Sender<()>>,
     /// Start times of executed requests by attempt id
     run_starts: BTreeMap<String, Vec<Instant>>,
     body_bytes: BTreeMap<String, usize>,
@@ -81,6 +91,12 @@
         let listener = TcpListener::bind(address).await?;
         let local_address = listener.local_addr()?;
         let endpoint = self.clone();
+        let (crash, crashed) = bounded(1);
+        {
+            let mut state = lock(&self.state);
+            state.starts += 1;
+            state.crash = Some(crash);
+        }
         let server = async move {
             // Dropping the task closes all connections, like killing a process.
             let executor = smol::Executor::new();
@@ -91,7 +107,11 @@
                     executor.spawn(session).detach();
                 }
             };
-            executor.run(accept_loop).await;
+            let crash = async {
+                // The sender is dropped only with the endpoint.
+                let _ = crashed.recv().await;
+            };
+            executor.run(accept_loop.or(crash)).await;
         };
         Ok((local_address, smol::spawn(server)))
     }
@@ -101,7 +121,7 @@
         json!({
             "service": service, "zone": zone, "address": address.to_string(), "state": state,
             "version": "v1", "max_concurrency": self.options.slots, "warmup_left_ms": 0,
-            "sequence": 1, "born": 1,
+            "sequence": 1, "born": lock(&self.state).starts,
         })
     }
 
@@ -110,6 +130,11 @@
         &self.options.id
     }
 
+    /// Returns whether a request crashed the endpoint since its last start
+    pub fn is_crashed(&self) -> bool {
+        lock(&self.state).crash.is_none()
+    }
+
     /// Replaces the injected faults
     pub fn set_faults(&self, faults: Faults) {
         lock(&self.state).faults = faults;
@@ -183,6 +208,12 @@
                 .or_default()
                 .push(Instant::now());
             state.body_bytes.insert(attempt_id.clone(), body_bytes);
+            if request.target.contains(CRASH_MARKER)
+                && let Some(crash) = state.crash.take()
+            {
+                // The channel has room, as only this sender uses it, once.
+                let _ = crash.try_send(());
+            }
             state.faults
         };
         Timer::after(self.options.service_time * faults.slowdown_factor.max(1)).await;
--- a/tests/site/client.rs
+++ b/tests/site/client.rs
@@ -23,6 +23,8 @@
     pub id: String,
     /// Whether an endpoint may execute it at most once
     pub at_most_once: bool,
+    /// Object that the attempt concerns, which determines its target
+    pub object: u32,
     /// Address of the gateway that received the attempt
     pub gateway: SocketAddr,
     /// Time at which the attempt was sent
@@ -48,15 +50,16 @@
     while Instant::now() < end {
         number += 1;
         let at_most_once = rng.f64() < 0.3;
+        let object = rng.u32(..20);
         let attempt = Attempt {
             id: format!("{seed:x}-{number}"),
             at_most_once,
+            object,
             gateway,
             sent_at: Instant::now(),
             result: Err("no connection"),
         };
-        let object = rng.u32(..20);
-        let result = exchange(&mut idle_connection, &attempt, object).await;
+        let result = exchange(&mut idle_connection, &attempt).await;
         if result.is_err() {
             idle_connection = None;
         }
@@ -70,7 +73,6 @@
 async fn exchange(
     idle_connection: &mut Option<Connection>,
     attempt: &Attempt,
-    object: u32,
 ) -> Result<u16, &'static str> {
     let mut connection = match idle_connection.take() {
         Some(connection) if connection.is_idle().await => connection,
@@ -86,6 +88,7 @@
         0 => String::new(),
         length => format!("Content-Length: {length}\r\n"),
     };
+    let object = attempt.object;
     let request = format!(
         "{method} {path}{object} HTTP/1.1\r\nHost: {HOST_NAME}\r\nAttempt-Id: {}\r\n\
          Cookie: Affinity-Key={object}\r\nRequest-Deadline: {}\r\n{length}\r\n{body}",
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -189,6 +189,26 @@
         server.draining_since = (state == "draining").then(Instant::now);
     }
 
+    /// Writes an endpoint's entry with its own address, so that requests bypass the proxy
+    ///
+    /// A proxy accepts connections to an endpoint that crashed; the endpoint's address refuses them.
+    pub fn register_without_proxy(&mut self, index: usize) {
+        let server = &self.servers[index];
+        let entry = server
+            .endpoint
+            .store_spec(SERVICE, server.region, server.address, "ready");
+        self.store.write("servers", server.endpoint.id(), entry);
+    }
+
+    /// Starts an endpoint again that a request crashed, and registers it
+    pub async fn restart_server(&mut self, index: usize) {
+        let server = &mut self.servers[index];
+        server.task = None;
+        let started = server.endpoint.start(server.address).await;
+        server.task = Some(started.expect("the endpoint listens again").1);
+        self.register_without_proxy(index);
+    }
+
     /// Starts the process of a gateway
     pub fn start_gateway(&mut self, index: usize) {
         self.start_gateway_with_output(index, None);
