Recognize a repeated request by its path, affinity key and first body bytes

Seen by callers: repeats of a request that crashes endpoints could count as different requests, and different uploads to one path as one. Change: the key is the affinity key, method, target and first 4 KiB of the body; these are read before an endpoint is chosen, also of chunked bodies, so a short chunked body can now be sent to a second endpoint.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -18,7 +18,7 @@
 use super::Gateway;
 use super::forward::forward;
 use super::reply::{self, Refusal, Reply};
-use super::upload::Upload;
+use super::upload::{PREFIX_BYTES, Upload};
 use crate::message::{Connection, Error, Length, Request, timeout};
 use crate::platform::header;
 
@@ -203,16 +203,48 @@
             Length::Bytes(length) if length > limits.max_body_bytes => {
                 self.reject(413, "body is too long").await
             }
-            Length::Bytes(length) if length <= MAX_BUFFERED_BODY_BYTES => {
-                self.run_buffered(request, arrived).await
-            }
-            _ => {
-                self.run_streamed(request, arrived, limits.max_body_bytes)
-                    .await
+            length => self.serve_body(request, length, arrived).await,
+        }
+    }
+
+    /// Reads a short body, or the first part of a long one, and runs the request
+    async fn serve_body(
+        &mut self,
+        request: Request,
+        mut length: Length,
+        arrived: Instant,
+    ) -> ConnectionState {
+        let max_bytes = match length {
+            Length::Bytes(length) if length <= MAX_BUFFERED_BODY_BYTES => usize::MAX,
+            _ => PREFIX_BYTES,
+        };
+        let body_timeout =
+            header::request_timeout(&request.headers).unwrap_or(DEFAULT_BODY_TIMEOUT);
+        let body = self.read_body_start(&mut length, max_bytes);
+        match timeout(arrived + body_timeout, body).await {
+            Some(Ok(body)) if length == Length::Bytes(0) => {
+                self.run_buffered(request, body, arrived).await
             }
+            Some(Ok(prefix)) => self.run_streamed(request, &prefix, length, arrived).await,
+            Some(Err(_)) | None => ConnectionState::Closed,
         }
     }
 
+    /// Reads a body up to its end, or until at least `max_bytes` are read
+    async fn read_body_start(
+        &mut self,
+        length: &mut Length,
+        max_bytes: usize,
+    ) -> Result<Vec<u8>, Error> {
+        let mut body = Vec::new();
+        while body.len() < max_bytes
+            && let Some(part) = self.connection.read_body_part(length).await?
+        {
+            body.extend_from_slice(&part);
+        }
+        Ok(body)
+    }
+
     fn next_slot(&mut self) -> PipelineSlot {
         let (answered, last_answered) = bounded(1);
         self.pipeline
@@ -225,17 +257,13 @@
         }
     }
 
-    /// Reads a short body, then runs the request concurrently with others
-    async fn run_buffered(&mut self, request: Request, arrived: Instant) -> ConnectionState {
-        let body_timeout =
-            header::request_timeout(&request.headers).unwrap_or(DEFAULT_BODY_TIMEOUT);
-        let body = self
-            .connection
-            .read_body(request.length, MAX_BUFFERED_BODY_BYTES as usize);
-        let body = match timeout(arrived + body_timeout, body).await {
-            Some(Ok(body)) => body,
-            Some(Err(_)) | None => return ConnectionState::Closed,
-        };
+    /// Runs a request with a short body concurrently with others
+    async fn run_buffered(
+        &mut self,
+        request: Request,
+        body: Vec<u8>,
+        arrived: Instant,
+    ) -> ConnectionState {
         let slot = self.next_slot();
         let (gateway, pipeline) = (self.gateway.clone(), self.pipeline.clone());
         let keep_alive = request.keep_alive;
@@ -259,19 +287,19 @@
     async fn run_streamed(
         &mut self,
         request: Request,
+        prefix: &[u8],
+        mut length: Length,
         arrived: Instant,
-        max_body_bytes: u64,
     ) -> ConnectionState {
         let slot = self.next_slot();
         let gateway = self.gateway.clone();
         let _guard = RunningGuard::new(&gateway);
-        let mut length = request.length;
         let mut upload = Upload::Streamed {
+            prefix,
             caller: &mut self.connection,
             remaining: &mut length,
             started: false,
         };
-        log::debug!("streaming a body of up to {max_body_bytes} bytes");
         let reply = forward(&gateway, &request, &mut upload, arrived).await;
         let has_unread_body = length != Length::Bytes(0);
         let pipeline = self.pipeline.clone();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -32,9 +32,6 @@
 /// Minimum time before an idempotent request is tried elsewhere
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// Number of body bytes that identify a request for the quarantine
-const MAX_KEY_BODY_BYTES: usize = 4 << 10;
-
 /// Request that is being dispatched
 struct Dispatch<'a> {
     gateway: &'a Rc<Gateway>,
@@ -119,12 +116,8 @@
     };
     let service = route.next_service().cloned();
     let service = service.ok_or_else(|| Refusal::new(404, "route without a service"))?;
-    let body: &[u8] = match upload {
-        Upload::Buffered(body) => &body[..body.len().min(MAX_KEY_BODY_BYTES)],
-        Upload::Streamed { .. } => &[],
-    };
     let caller = header::caller_id(&request.headers);
-    let quarantine_key = quarantine::key(&service, caller, &request.target, body);
+    let quarantine_key = quarantine::key(caller, &request.method, &request.target, upload.prefix());
     if let Some(quarantined_for) = gateway
         .quarantine
         .borrow_mut()
--- a/src/gateway/upload.rs
+++ b/src/gateway/upload.rs
@@ -7,6 +7,9 @@
 
 use crate::message::{Connection, Error, Length};
 
+/// Number of body bytes that identify a request for the quarantine
+pub const PREFIX_BYTES: usize = 4 << 10;
+
 /// Body of a request
 #[derive(Debug)]
 pub enum Upload<'a> {
@@ -14,6 +17,8 @@
     Buffered(&'a [u8]),
     /// Read from the caller while it is sent; can be sent only once
     Streamed {
+        /// First part, which was already read
+        prefix: &'a [u8],
         /// Connection to the caller
         caller: &'a mut Connection,
         /// Length of the part that is still to be read
@@ -38,6 +43,15 @@
         !matches!(self, Self::Streamed { started: true, .. })
     }
 
+    /// Returns the first [`PREFIX_BYTES`] bytes of the body, or the whole body if it is shorter
+    pub fn prefix(&self) -> &[u8] {
+        let known: &[u8] = match self {
+            Self::Buffered(body) => body,
+            Self::Streamed { prefix, .. } => prefix,
+        };
+        &known[..known.len().min(PREFIX_BYTES)]
+    }
+
     /// Returns the header line that frames the body; empty if there is no body
     pub fn framing_header(&self, method: &str) -> String {
         match self {
@@ -45,8 +59,12 @@
                 String::new()
             }
             Self::Buffered(body) => format!("Content-Length: {}\r\n", body.len()),
-            Self::Streamed { remaining, .. } => match remaining {
-                Length::Bytes(length) => format!("Content-Length: {length}\r\n"),
+            Self::Streamed {
+                prefix, remaining, ..
+            } => match remaining {
+                Length::Bytes(length) => {
+                    format!("Content-Length: {}\r\n", *length + prefix.len() as u64)
+                }
                 _ => "Transfer-Encoding: chunked\r\n".to_owned(),
             },
         }
@@ -57,17 +75,23 @@
         match self {
             Self::Buffered(body) => writer.write_all(body).await.map_err(SendError::Endpoint),
             Self::Streamed {
+                prefix,
                 caller,
                 remaining,
                 started,
             } => {
                 let is_chunked = matches!(remaining, Length::Chunked);
                 *started = true;
-                while let Some(piece) = caller
-                    .read_body_part(remaining)
-                    .await
-                    .map_err(SendError::Caller)?
-                {
+                let mut next = Some(prefix.to_vec()).filter(|prefix| !prefix.is_empty());
+                loop {
+                    let piece = match next.take() {
+                        Some(piece) => Some(piece),
+                        None => caller
+                            .read_body_part(remaining)
+                            .await
+                            .map_err(SendError::Caller)?,
+                    };
+                    let Some(piece) = piece else { break };
                     let piece = if is_chunked {
                         encode_chunk(&piece)
                     } else {
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -60,15 +60,21 @@
 
 /// Returns the hash of the affinity key of a request
 pub fn affinity_key(headers: &Headers) -> Option<u64> {
-    let cookies = headers.values("cookie").flat_map(|line| line.split(';'));
-    let mut pairs = cookies.filter_map(|cookie| cookie.trim().split_once('='));
-    let (_, value) = pairs.find(|(name, _)| *name == AFFINITY_KEY)?;
-    Some(stable_hash(&value))
+    affinity_cookie(headers).map(|value| stable_hash(&value))
 }
 
 /// Returns what identifies the caller in the headers, to detect repeated requests
+///
+/// Other cookies may differ between repeats, and no header names the caller.
 pub fn caller_id(headers: &Headers) -> &str {
-    headers.get("cookie").unwrap_or_default()
+    affinity_cookie(headers).unwrap_or_default()
+}
+
+fn affinity_cookie(headers: &Headers) -> Option<&str> {
+    let cookies = headers.values("cookie").flat_map(|line| line.split(';'));
+    let mut pairs = cookies.filter_map(|cookie| cookie.trim().split_once('='));
+    let (_, value) = pairs.find(|(name, _)| *name == AFFINITY_KEY)?;
+    Some(value)
 }
 
 /// Returns the headers of a request as it is sent to an endpoint
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -8,7 +8,7 @@
 use super::header;
 use super::store::{self, Kind, Object, Request as StoreRequest};
 use super::{front, node, record};
-use crate::message::{Request, Response};
+use crate::message::{Headers, Request, Response};
 use crate::policy::Execution;
 
 mod random;
@@ -263,3 +263,47 @@
     assert_eq!(body["addresses"][0], "127.0.0.1:80");
     assert_eq!(body["ttl_s"], 2.0);
 }
+
+/// Guards against repeats of a request that are taken for different ones, as another cookie differs
+#[test]
+fn repeats_of_a_request_have_the_same_caller_id() {
+    struct Case {
+        name: &'static str,
+        cookies: &'static [&'static str],
+        caller_id: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "no cookie",
+            cookies: &[],
+            caller_id: "",
+        },
+        Case {
+            name: "affinity key only",
+            cookies: &["Affinity-Key=17"],
+            caller_id: "17",
+        },
+        Case {
+            name: "behind another cookie",
+            cookies: &["lang=en; Affinity-Key=17"],
+            caller_id: "17",
+        },
+        Case {
+            name: "in a line of its own",
+            cookies: &["lang=it; visits=8", "Affinity-Key=17"],
+            caller_id: "17",
+        },
+        Case {
+            name: "other cookies only",
+            cookies: &["lang=en"],
+            caller_id: "",
+        },
+    ];
+    for case in cases {
+        let mut headers = Headers::new();
+        for cookie in case.cookies {
+            headers.push("Cookie", *cookie);
+        }
+        assert_eq!(header::caller_id(&headers), case.caller_id, "{}", case.name);
+    }
+}
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -16,7 +16,7 @@
 #[cfg(test)]
 mod tests;
 
-/// Stable hash of service, method, target and body
+/// Stable hash of what identifies a request
 pub type Key = u64;
 
 /// Number of endpoints with crashes after which a request is refused
@@ -34,10 +34,10 @@
 /// Maximum number of suspects, and of refused requests, on a host
 pub const MAX_KEYS: usize = 4096;
 
-/// Computes the key of a request
-pub fn key(service: &str, method: &str, target: &str, body: &[u8]) -> Key {
+/// Computes the key of a request; `scope` is the service or the caller that sends it
+pub fn key(scope: &str, method: &str, target: &str, body: &[u8]) -> Key {
     let mut hasher = SipHasher13::new();
-    (service, method, target, body).hash(&mut hasher);
+    (scope, method, target, body).hash(&mut hasher);
     hasher.finish()
 }
 
