Count a crash under a request that was sent on a kept connection

Seen by callers: one idempotent request that crashes endpoints ended three of them under a single attempt, was never refused at a host for good, and ordinary requests beside it failed. A crashed endpoint refuses that connection, and the attempt ended as 'not sent': no crash was recorded, no budget was taken, and the next endpoint was tried. On the other hand every broken connection counted as a crash, so lost or spoiled answers put ordinary requests under suspicion. Change: a break that is followed by a refused connection is a crash, any other is not; the connection of that check is kept for later requests. Sending again takes retry budget.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 //! Failures that prove that the request did not run are kept apart from those that do not. A
 //! connection is reused only after a complete answer with no bytes behind it.
 
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,10 @@
 /// second after which a lost SYN is retransmitted
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// Timeout for the connection that shows whether an endpoint is down; a round trip between regions
+/// takes a fraction of it
+const DOWN_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Maximum idle time of a connection that carries a non-idempotent request; endpoints may drop
 /// older ones, and after a reset it is unknown whether the request ran
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(800);
@@ -48,6 +53,8 @@
     Misdirected,
     /// connection broke: {0}
     Broken(String),
+    /// endpoint ended: {0}
+    Crashed(String),
     /// no answer in time
     TimedOut,
     /// left for another endpoint, as it took long
@@ -164,6 +171,7 @@
     limits: Limits,
 ) -> Result<EndpointAnswer, Failure> {
     let result = attempt(gateway, &mut in_flight, request, upload, limits).await;
+    let endpoint = in_flight.endpoint.clone();
     let result = match result {
         Ok((connection, head, uploaded)) => {
             read_answer(gateway, in_flight, connection, head, uploaded, limits).await
@@ -173,6 +181,12 @@
             Err(failure)
         }
     };
+    let result = match result {
+        Err(Failure::Broken(error)) if is_down(gateway, &endpoint).await => {
+            Err(Failure::Crashed(error))
+        }
+        result => result,
+    };
     if let Err(failure) = &result {
         log::debug!("attempt for {} failed: {failure}", request.target);
     }
@@ -181,7 +195,7 @@
 
 fn pool_outcome(failure: &Failure) -> Outcome {
     match failure {
-        Failure::NotSent(_) | Failure::Broken(_) => Outcome::ConnectionFailed,
+        Failure::NotSent(_) | Failure::Broken(_) | Failure::Crashed(_) => Outcome::ConnectionFailed,
         Failure::Shed => Outcome::Shed,
         Failure::Misdirected => Outcome::Misdirected,
         Failure::TimedOut | Failure::Abandoned => Outcome::Failed,
@@ -189,6 +203,37 @@
     }
 }
 
+/// Returns whether an endpoint refuses connections, right after one to it broke
+///
+/// A live endpoint that lost an answer or dropped a connection accepts a new one.
+async fn is_down(gateway: &Gateway, endpoint: &Endpoint) -> bool {
+    match Connection::connect(endpoint.address, DOWN_CHECK_TIMEOUT).await {
+        Ok(connection) => {
+            gateway.metrics.count_connection();
+            let mut idle_connections = gateway.idle_connections.borrow_mut();
+            idle_connections.put(Instant::now(), endpoint.address, connection, None);
+            false
+        }
+        Err(error) if is_refused(&error) => {
+            let mut pool = gateway.pool.borrow_mut();
+            pool.eject(Instant::now(), &endpoint.id);
+            true
+        }
+        Err(error) => {
+            log::debug!("cannot tell whether {} is down: {error}", endpoint.id);
+            false
+        }
+    }
+}
+
+/// Returns whether an error means that nothing listens at an address
+fn is_refused(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+    )
+}
+
 async fn attempt(
     gateway: &Rc<Gateway>,
     in_flight: &mut InFlight,
@@ -197,6 +242,7 @@
     limits: Limits,
 ) -> Result<(Connection, Response, bool), Failure> {
     let address = in_flight.endpoint.address;
+    let service = &in_flight.endpoint.service;
     let max_idle = if limits.idempotent {
         Duration::MAX
     } else {
@@ -207,6 +253,7 @@
         .idle_connections
         .borrow_mut()
         .take(Instant::now(), address, max_idle);
+    let mut broken = None;
     if let Some(idle) = idle
         && upload.can_resend()
         && idle.is_idle().await
@@ -214,14 +261,19 @@
         let sent = send(idle, in_flight, request, upload, limits).await;
         // The endpoint may close an idle connection while the request is being sent on it.
         match sent {
-            Err(Failure::Broken(error)) if limits.idempotent && upload.can_resend() => {
+            Err(Failure::Broken(error))
+                if limits.idempotent
+                    && upload.can_resend()
+                    && gateway.allow_retry(Instant::now(), service) =>
+            {
                 let attempt_id = header::attempt_id(&request.headers).unwrap_or("-");
                 let fields = [
                     ("id", attempt_id.into()),
                     ("endpoint", in_flight.endpoint.id.as_str().into()),
-                    ("error", error.into()),
+                    ("error", error.as_str().into()),
                 ];
                 gateway.recorder.event("sent-again", &fields);
+                broken = Some(error);
             }
             sent => return sent,
         }
@@ -233,7 +285,12 @@
         // back.
         let mut pool = gateway.pool.borrow_mut();
         pool.eject(Instant::now(), &in_flight.endpoint.id);
-        Failure::NotSent(error.to_string())
+        match &broken {
+            // The endpoint may have run what was sent on the kept connection.
+            Some(cause) if is_refused(&error) => Failure::Crashed(cause.clone()),
+            Some(cause) => Failure::Broken(cause.clone()),
+            None => Failure::NotSent(error.to_string()),
+        }
     })?;
     gateway.metrics.count_connection();
     send(connection, in_flight, request, upload, limits).await
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -323,7 +323,7 @@
             Err(failure) => {
                 self.run_attempts += 1;
                 self.may_have_run = true;
-                if let Failure::Broken(error) = failure {
+                if let Failure::Crashed(error) = failure {
                     self.record_crash(&id, error);
                 }
             }
@@ -331,7 +331,7 @@
         result
     }
 
-    /// Records that an attempt broke at an endpoint, which may have crashed
+    /// Records that an endpoint crashed with this request in flight
     fn record_crash(&self, endpoint: &EndpointId, error: &str) {
         let mut quarantine = self.gateway.quarantine.borrow_mut();
         quarantine.record_crash(Instant::now(), self.quarantine_key, endpoint);
@@ -339,7 +339,7 @@
             .retry_after(Instant::now(), self.quarantine_key)
             .is_some();
         drop(quarantine);
-        self.gateway.metrics.count_suspicion();
+        self.gateway.metrics.count_crash();
         let attempt_id = header::attempt_id(&self.request.headers).unwrap_or("-");
         let fields = [
             ("id", attempt_id.into()),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -25,7 +25,7 @@
     connections: Counter<u64>,
     probes: Counter<u64>,
     store_calls: Counter<u64>,
-    suspicions: Counter<u64>,
+    crashes: Counter<u64>,
     state_gauge: Gauge<u64>,
 }
 
@@ -55,9 +55,9 @@
             connections: counter("pier_gate_connections", "Connections opened to endpoints"),
             probes: counter("pier_gate_probes", "Health checks sent"),
             store_calls: counter("pier_gate_store_calls", "Calls to the store, by kind"),
-            suspicions: counter(
-                "pier_gate_suspicions",
-                "Attempts that broke at an endpoint that may have crashed",
+            crashes: counter(
+                "pier_gate_endpoint_crashes",
+                "Attempts during which the endpoint ended",
             ),
             state_gauge: meter
                 .u64_gauge("pier_gate_state")
@@ -88,9 +88,9 @@
         self.probes.add(1, &[]);
     }
 
-    /// Counts an attempt that broke at an endpoint that may have crashed
-    pub fn count_suspicion(&self) {
-        self.suspicions.add(1, &[]);
+    /// Counts an attempt during which the endpoint ended
+    pub fn count_crash(&self) {
+        self.crashes.add(1, &[]);
     }
 
     /// Counts calls to the store
