Share records of requests that crash endpoints among all hosts

Change: quarantine::Register, a record for each request that is merged by union: the endpoint runs that ended under it, and those that were cleared by a success. News travel with the datagrams between hosts, at once from the host that saw a crash; from the second crash on the record is also an object in the store (kind quarantined-requests), which hosts that restart or were cut off read. A success anywhere clears it everywhere, so ordinary requests beside it are not refused for long.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -13,6 +13,8 @@
 use compact_str::CompactString;
 
 use crate::id::{EndpointId, RegionId, ServiceId, ZoneId};
+use crate::quarantine::EndpointRun;
+use crate::util::stable_hash;
 
 #[cfg(test)]
 mod tests;
@@ -48,6 +50,13 @@
     pub warmup_remaining: Duration,
 }
 
+impl Endpoint {
+    /// Returns a hash that identifies this run of the endpoint, the same on every host
+    pub fn run(&self) -> EndpointRun {
+        stable_hash(&(&self.id, self.start_unix_millis))
+    }
+}
+
 /// Effect of an entry on the catalog
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,7 @@
 use crate::placement::{Choice, Request as EndpointRequest, ServiceTime};
 use crate::platform::header;
 use crate::policy::{Execution, Route};
-use crate::quarantine;
+use crate::quarantine::{self, EndpointRun};
 
 /// Timeout of a request if neither the caller nor the route states one
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -120,7 +120,7 @@
     let quarantine_key = quarantine::key(caller, &request.method, &request.target, upload.prefix());
     if let Some(quarantined_for) = gateway
         .quarantine
-        .borrow_mut()
+        .borrow()
         .retry_after(arrived, quarantine_key)
     {
         return Err(Refusal::quarantined(quarantine_key, quarantined_for));
@@ -229,19 +229,17 @@
         let gateway = self.gateway;
         let catalog = gateway.catalog.borrow();
         let pool = gateway.pool.borrow();
-        let excluded = gateway
+        let excluded_runs = gateway
             .quarantine
             .borrow()
-            .excluded_endpoints(self.quarantine_key);
-        let excluded: Vec<EndpointId> = excluded
-            .into_iter()
-            .chain(self.tried_endpoints.iter().cloned())
-            .collect();
+            .excluded_runs(self.quarantine_key);
         let allowed = &self.route.allowed_regions;
         let mut regions: BTreeMap<&RegionId, Vec<&Endpoint>> = BTreeMap::new();
         for endpoint in catalog.usable(&self.service) {
             let is_allowed = allowed.is_empty() || allowed.contains(&endpoint.region);
+            let is_excluded = !excluded_runs.is_empty() && excluded_runs.contains(&endpoint.run());
             if is_allowed
+                && !is_excluded
                 && (!catalog.is_cold(now, &endpoint.id) || gateway.may_use_cold(now, endpoint))
             {
                 regions.entry(&endpoint.region).or_default().push(endpoint);
@@ -257,7 +255,7 @@
                     region,
                     endpoints.len(),
                 ),
-                excluded: &excluded,
+                excluded: &self.tried_endpoints,
             };
             let choice = pool.choose(now, &endpoint_request, endpoints.into_iter())?;
             Some((region.clone(), choice))
@@ -283,6 +281,7 @@
         choice: &Choice,
     ) -> Result<EndpointAnswer, Failure> {
         let id = endpoint.id.clone();
+        let run = endpoint.run();
         self.tried_endpoints.push(id.clone());
         let attempt_timeout = (choice.expected_time
             + self.usual_duration(ServiceTime::cold) * SLOW_ATTEMPT_FACTOR)
@@ -293,10 +292,7 @@
         };
         let rank = self.affinity_key.map(|_| choice.rank);
         let in_flight = InFlight::new(self.gateway, endpoint, self.route.name.clone(), rank);
-        self.gateway
-            .quarantine
-            .borrow_mut()
-            .record_start(self.quarantine_key, &id);
+        let running = super::quarantine::Running::new(self.gateway, self.quarantine_key, run);
         let can_resend = upload.can_resend();
         let result = {
             let mut attempt = pin!(exchange::run(
@@ -313,10 +309,7 @@
                 None => attempt.await,
             }
         };
-        self.gateway
-            .quarantine
-            .borrow_mut()
-            .record_end(self.quarantine_key, &id);
+        drop(running);
         match &result {
             Ok(_) => self.run_attempts += 1,
             Err(failure) if failure.is_not_run() => self.not_run_attempts += 1,
@@ -324,7 +317,7 @@
                 self.run_attempts += 1;
                 self.may_have_run = true;
                 if let Failure::Crashed(error) = failure {
-                    self.record_crash(&id, error);
+                    self.record_crash(&id, run, error);
                 }
             }
         }
@@ -332,21 +325,22 @@
     }
 
     /// Records that an endpoint crashed with this request in flight
-    fn record_crash(&self, endpoint: &EndpointId, error: &str) {
+    fn record_crash(&self, endpoint: &EndpointId, run: EndpointRun, error: &str) {
+        let now = Instant::now();
         let mut quarantine = self.gateway.quarantine.borrow_mut();
-        quarantine.record_crash(Instant::now(), self.quarantine_key, endpoint);
-        let is_refused = quarantine
-            .retry_after(Instant::now(), self.quarantine_key)
-            .is_some();
+        let crashes = quarantine.record_crash(now, self.quarantine_key, run);
+        let refused_for = quarantine.retry_after(now, self.quarantine_key);
         drop(quarantine);
         self.gateway.metrics.count_crash();
+        self.gateway.send_news();
         let attempt_id = header::attempt_id(&self.request.headers).unwrap_or("-");
         let fields = [
             ("id", attempt_id.into()),
             ("key", record::format_key(self.quarantine_key).into()),
             ("endpoint", endpoint.as_str().into()),
             ("error", error.into()),
-            ("quarantined", is_refused.into()),
+            ("crashes", crashes.into()),
+            ("refused_ms", refused_for.map(record::millis).into()),
         ];
         self.gateway.recorder.event("suspect", &fields);
     }
@@ -365,11 +359,9 @@
     /// Decides whether an answer is passed on or the request is retried at another endpoint
     fn evaluate(&mut self, answer: EndpointAnswer, upload: &Upload<'_>) -> Result<Reply, Failure> {
         let status = answer.head.status;
-        if status < 500 || status == 501 {
-            self.gateway
-                .quarantine
-                .borrow_mut()
-                .record_success(self.quarantine_key);
+        // An endpoint may reject a request without running it.
+        if status < 400 {
+            super::quarantine::record_success(self.gateway, self.quarantine_key);
         }
         if status >= 500 && self.is_idempotent() && answer.remaining.is_none() {
             let failure = Failure::Broken(format!("status {status}"));
@@ -407,7 +399,7 @@
         if let Some(quarantined_for) = self
             .gateway
             .quarantine
-            .borrow_mut()
+            .borrow()
             .retry_after(now, self.quarantine_key)
         {
             log::debug!("quarantined for {quarantined_for:?}");
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -11,6 +11,7 @@
 use super::Gateway;
 use crate::operator::metrics::{encode, exporter};
 use crate::platform::store::Kind;
+use crate::quarantine::CRASH_THRESHOLD;
 
 /// Bucket bounds of the latency histogram, in seconds
 const LATENCY_BOUNDS_SECONDS: [f64; 12] =
@@ -160,11 +161,11 @@
         ),
         (
             "suspect_requests",
-            gateway.quarantine.borrow().suspect_count() as u64,
+            gateway.quarantine.borrow().count(1) as u64,
         ),
         (
             "quarantined_requests",
-            gateway.quarantine.borrow().refused_count() as u64,
+            gateway.quarantine.borrow().count(CRASH_THRESHOLD) as u64,
         ),
         ("log_lines_lost", super::log::lost_lines()),
     ]
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -172,6 +172,12 @@
             .flat_map(BTreeMap::values)
     }
 
+    /// Returns whether an object exists
+    pub fn contains(&self, kind: Kind, name: &str) -> bool {
+        let objects = self.objects.get(&kind);
+        objects.is_some_and(|objects| objects.contains_key(name))
+    }
+
     /// Returns a summary of each kind that other hosts compare with their own
     pub fn watermarks(&self) -> BTreeMap<Kind, Watermark> {
         let watermarks = self.objects.iter().map(|(kind, objects)| {
@@ -215,6 +221,11 @@
         !self.unreachable_since.is_empty()
     }
 
+    /// Returns whether a kind was read and can be read at the moment
+    pub fn is_readable(&self, kind: Kind) -> bool {
+        self.was_read(kind) && !self.unreachable_since.contains_key(&kind)
+    }
+
     /// Returns whether a kind was ever read from a source this host follows
     pub fn was_read(&self, kind: Kind) -> bool {
         self.last_read.contains_key(&kind)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use smol::channel::{Receiver, Sender, bounded};
 use smol::{LocalExecutor, Task};
 
 use crate::catalog::Catalog;
@@ -17,7 +18,7 @@
 use crate::id::{EndpointId, Incarnation, RegionId, ServiceId};
 use crate::placement::{AffinityKeys, Pool, ServiceTime, SlidingWindow, service_time};
 use crate::policy::Document;
-use crate::quarantine;
+use crate::quarantine::Register;
 use crate::region::{self, Balancer, Demand, Load, Shares};
 use crate::retry::WindowBudget;
 
@@ -32,6 +33,7 @@
 mod peers;
 mod ports;
 mod probe;
+mod quarantine;
 mod record;
 mod reply;
 pub mod run;
@@ -45,6 +47,7 @@
 
 pub use metrics::Metrics;
 pub use mirror::Mirror;
+pub use peers::load_report_interval;
 pub use record::Recorder;
 pub use settings::Settings;
 
@@ -71,8 +74,8 @@
     pub mirror: RefCell<Mirror>,
     /// Idle connections to endpoints
     pub idle_connections: RefCell<idle::Connections>,
-    /// Requests that make endpoints fail
-    pub quarantine: RefCell<quarantine::Tracker>,
+    /// Requests that crashed endpoints
+    pub quarantine: RefCell<Register>,
     /// Decision log
     pub recorder: Recorder,
     /// Counters and histograms
@@ -89,6 +92,8 @@
     demand: RefCell<BTreeMap<ServiceId, Demand>>,
     /// Rate limits for cold endpoints
     cold_buckets: RefCell<BTreeMap<EndpointId, cold::TokenBucket>>,
+    /// Full while reports are to be sent at once, since a request crashed an endpoint
+    urgent_news: (Sender<()>, Receiver<()>),
     /// Whether a planned stop has begun
     stopping: Cell<bool>,
     /// Whether new requests are refused because the process would end before they finish
@@ -121,6 +126,7 @@
             arrivals: RefCell::default(),
             demand: RefCell::default(),
             cold_buckets: RefCell::default(),
+            urgent_news: bounded(1),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
             open_connections: Cell::new(0),
@@ -134,6 +140,12 @@
         self.executor.spawn(task)
     }
 
+    /// Sends reports to other hosts at once
+    fn send_news(&self) {
+        // A full channel means that they are about to be sent.
+        let _ = self.urgent_news.0.try_send(());
+    }
+
     /// Returns whether requests can be served
     pub fn is_ready(&self) -> bool {
         let is_configured =
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -7,12 +7,14 @@
 
 use smol::Timer;
 use smol::channel::Sender;
+use smol::future::FutureExt;
 use smol::net::UdpSocket;
 
-use super::Gateway;
+use super::{Gateway, quarantine};
 use crate::fleet::{LagDetector, Member, PING_INTERVAL, Report, Watermark};
 use crate::platform::record;
 use crate::platform::store::{Error, Kind, Session};
+use crate::quarantine::{Key, Record, Source};
 
 /// Base interval of load reports within a region
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(100);
@@ -55,7 +57,12 @@
                 continue;
             }
         };
-        let Ok((report, watermarks)) = decode(&buffer[..length]) else {
+        let Ok(Message {
+            report,
+            watermarks,
+            suspects,
+        }) = decode(&buffer[..length])
+        else {
             log::debug!("cannot decode a datagram from {sender}");
             continue;
         };
@@ -72,8 +79,16 @@
             let mut pool = gateway.pool.borrow_mut();
             pool.record_host_report(now, report.host.clone(), report.running.clone());
         }
+        let is_own_region = report.region == gateway.settings.borrow().region;
+        let source = match is_own_region {
+            true => Source::Region,
+            false => Source::Elsewhere,
+        };
+        for (key, record) in &suspects {
+            quarantine::merge(&gateway, *key, record, source);
+        }
         if report.ping {
-            send_report(&gateway, &socket, sender, false).await;
+            send_report(&gateway, &socket, sender, is_own_region, false).await;
         }
         detect_lag(&gateway, now, &watermarks, &mut lag, &resync_senders);
     }
@@ -109,19 +124,26 @@
     loop {
         let settings = gateway.settings.borrow().clone();
         let is_small = gateway.fleet.borrow().size() <= SMALL_FLEET_HOSTS;
-        let recipients: Vec<SocketAddr> = gateway
+        let recipients: Vec<(SocketAddr, bool)> = gateway
             .fleet
             .borrow()
             .members()
             .filter(|member| is_small || member.region == settings.region)
             .filter(|member| member.host != settings.host)
-            .map(|member| member.peer)
+            .map(|member| (member.peer, member.region == settings.region))
             .collect();
-        Timer::after(load_report_interval(recipients.len())).await;
+        let interval = async {
+            Timer::after(load_report_interval(recipients.len())).await;
+        };
+        let urgent_news = async {
+            // The sender is dropped only with the gateway.
+            let _ = gateway.urgent_news.1.recv().await;
+        };
+        interval.or(urgent_news).await;
         gateway.observe_demand(Instant::now());
         gateway.record_own_demand();
-        for address in recipients {
-            send_report(&gateway, &socket, address, false).await;
+        for (address, is_own_region) in recipients {
+            send_report(&gateway, &socket, address, is_own_region, false).await;
         }
     }
 }
@@ -131,19 +153,22 @@
     let mut last_report = Instant::now();
     loop {
         Timer::after(PING_INTERVAL).await;
-        let watched: Vec<SocketAddr> = {
+        let home_region = gateway.settings.borrow().region.clone();
+        let watched: Vec<(SocketAddr, bool)> = {
             let fleet = gateway.fleet.borrow();
             let watched = fleet.successors();
-            watched.iter().map(|member| member.peer).collect()
+            let watched = watched.iter();
+            watched
+                .map(|member| (member.peer, member.region == home_region))
+                .collect()
         };
-        for address in watched {
-            send_report(&gateway, &socket, address, true).await;
+        for (address, is_own_region) in watched {
+            send_report(&gateway, &socket, address, is_own_region, true).await;
         }
         if last_report.elapsed() < DEMAND_REPORT_INTERVAL {
             continue;
         }
         last_report = Instant::now();
-        let home_region = gateway.settings.borrow().region.clone();
         let mut recipients: Vec<SocketAddr> = gateway
             .fleet
             .borrow()
@@ -153,12 +178,18 @@
             .collect();
         fastrand::shuffle(&mut recipients);
         for address in recipients.into_iter().take(DEMAND_REPORT_HOSTS) {
-            send_report(&gateway, &socket, address, false).await;
+            send_report(&gateway, &socket, address, false, false).await;
         }
     }
 }
 
-async fn send_report(gateway: &Gateway, socket: &UdpSocket, to: SocketAddr, ping: bool) {
+async fn send_report(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    to: SocketAddr,
+    to_own_region: bool,
+    ping: bool,
+) {
     let report = {
         let settings = gateway.settings.borrow();
         Report {
@@ -169,8 +200,15 @@
             running: gateway.pool.borrow().host_report(),
         }
     };
-    let watermarks = gateway.mirror.borrow().watermarks();
-    match encode(&report, &watermarks) {
+    let message = Message {
+        report,
+        watermarks: gateway.mirror.borrow().watermarks(),
+        suspects: gateway
+            .quarantine
+            .borrow()
+            .news(Instant::now(), to_own_region),
+    };
+    match encode(&message) {
         Ok(bytes) => {
             if let Err(error) = socket.send_to(&bytes, to).await {
                 log::debug!("cannot send a report to {to}: {error}");
@@ -180,15 +218,39 @@
     }
 }
 
-fn encode(
-    report: &Report,
-    watermarks: &BTreeMap<Kind, Watermark>,
-) -> Result<Vec<u8>, postcard::Error> {
-    postcard::to_stdvec(&(report, watermarks))
+/// Content of a datagram
+#[derive(Debug, PartialEq)]
+struct Message {
+    report: Report,
+    watermarks: BTreeMap<Kind, Watermark>,
+    suspects: Vec<(Key, Record)>,
 }
 
-fn decode(bytes: &[u8]) -> Result<(Report, BTreeMap<Kind, Watermark>), postcard::Error> {
-    postcard::from_bytes(bytes)
+/// Encodes a message in two parts, of which hosts of earlier versions read only the first
+///
+/// These hosts do not know [`Kind::Quarantine`], so its watermark is in the second part.
+fn encode(message: &Message) -> Result<Vec<u8>, postcard::Error> {
+    let mut watermarks = message.watermarks.clone();
+    let quarantine = watermarks.remove(&Kind::Quarantine);
+    let mut bytes = postcard::to_stdvec(&(&message.report, watermarks))?;
+    bytes.extend(postcard::to_stdvec(&(quarantine, &message.suspects))?);
+    Ok(bytes)
+}
+
+fn decode(bytes: &[u8]) -> Result<Message, postcard::Error> {
+    let ((report, mut watermarks), rest): ((Report, BTreeMap<Kind, Watermark>), _) =
+        postcard::take_from_bytes(bytes)?;
+    let mut suspects = Vec::new();
+    if !rest.is_empty() {
+        let quarantine: Option<Watermark>;
+        (quarantine, suspects) = postcard::from_bytes(rest)?;
+        watermarks.extend(quarantine.map(|watermark| (Kind::Quarantine, watermark)));
+    }
+    Ok(Message {
+        report,
+        watermarks,
+        suspects,
+    })
 }
 
 /// Maintains this host's entry in the store, and removes the entries of silent hosts
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -62,6 +62,11 @@
     format!("{key:016x}")
 }
 
+/// Returns a duration in whole milliseconds
+pub fn millis(duration: Duration) -> u64 {
+    duration.as_millis().try_into().unwrap_or(u64::MAX)
+}
+
 /// Rate-limited writer of the decision log
 #[derive(Debug)]
 pub struct Recorder(RefCell<Budget>);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,7 +14,7 @@
 use smol::{LocalExecutor, Timer};
 
 use super::ports::Port;
-use super::{Gateway, accept, log as gateway_log, peers, ports, probe, stop, watch};
+use super::{Gateway, accept, log as gateway_log, peers, ports, probe, quarantine, stop, watch};
 use crate::error::Error;
 use crate::platform::node;
 use crate::platform::store::Kind;
@@ -87,6 +87,9 @@
         .spawn(peers::maintain_entry(gateway.clone()))
         .detach();
     gateway.spawn(probe::run(gateway.clone())).detach();
+    gateway
+        .spawn(quarantine::maintain_records(gateway.clone()))
+        .detach();
     gateway.spawn(watch::bootstrap(gateway.clone())).detach();
     let (stop_sender, stop_receiver) = bounded(1);
     let accept_task = gateway.spawn(accept::serve(
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -11,7 +11,7 @@
 use smol::channel::Receiver;
 use smol::future::FutureExt;
 
-use super::{Gateway, peers};
+use super::{Gateway, peers, quarantine};
 use crate::message::Connection;
 use crate::object::Backoff;
 use crate::platform::record;
@@ -290,6 +290,7 @@
             let list = objects.iter().filter_map(record::decode_member).collect();
             gateway.fleet.borrow_mut().replace(list);
         }
+        Kind::Quarantine => quarantine::apply_list(gateway, objects),
     }
 }
 
@@ -310,6 +311,7 @@
             gateway.fleet.borrow_mut().remove(&name);
             gateway.pool.borrow_mut().remove_host(&name);
         }
+        (Kind::Quarantine, event) => quarantine::apply_event(gateway, event),
     }
 }
 
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -5,7 +5,7 @@
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use compact_str::CompactString;
 use serde::Deserialize;
@@ -16,6 +16,8 @@
 use crate::fleet::Member;
 use crate::id::{RegionId, ZoneId};
 use crate::policy::{Document, Execution, Limits, Route, Service, WeightedService};
+use crate::quarantine;
+use crate::util::unix_millis;
 
 /// Name of the object that holds the current configuration
 pub const CONFIGURATION_NAME: &str = "main";
@@ -237,6 +239,45 @@
     })
 }
 
+/// Returns the name of the object that holds the record of a request
+pub fn quarantine_name(key: quarantine::Key) -> CompactString {
+    format!("{key:016x}").into()
+}
+
+/// Returns the request whose record has this name; `None` if the name is invalid
+pub fn quarantine_key(name: &str) -> Option<quarantine::Key> {
+    u64::from_str_radix(name, 16).ok()
+}
+
+/// Encodes the record of a request that crashed endpoints; `now` is the time of day
+pub fn encode_quarantine(record: &quarantine::Record, now: SystemTime) -> Value {
+    let runs = record.crashed.iter().map(|run| format!("{run:016x}"));
+    let age = u64::try_from(record.age.as_millis()).unwrap_or(u64::MAX);
+    json!({
+        "crashed": runs.collect::<Vec<_>>(),
+        "last_crash_unix_ms": unix_millis(now).saturating_sub(age),
+    })
+}
+
+/// Decodes the record of a request that crashed endpoints; `None` if the object is invalid
+///
+/// A crash in the future, by a clock that differs, counts as one of this moment.
+pub fn decode_quarantine(
+    object: &Object,
+    now: SystemTime,
+) -> Option<(quarantine::Key, quarantine::Record)> {
+    let runs = object.spec["crashed"].as_array()?;
+    let parse_run = |run: &Value| u64::from_str_radix(run.as_str()?, 16).ok();
+    let crashed: Option<BTreeSet<quarantine::EndpointRun>> = runs.iter().map(parse_run).collect();
+    let last_crash = object.spec["last_crash_unix_ms"].as_u64()?;
+    let record = quarantine::Record {
+        crashed: crashed?,
+        cleared: BTreeSet::new(),
+        age: Duration::from_millis(unix_millis(now).saturating_sub(last_crash)),
+    };
+    Some((quarantine_key(&object.name)?, record))
+}
+
 fn seconds_or_zero(value: f64) -> Duration {
     Duration::try_from_secs_f64(value).unwrap_or(Duration::ZERO)
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -33,15 +33,18 @@
     Evacuations,
     /// Entry hosts; this system defines and writes this kind
     Hosts,
+    /// Requests that crashed endpoints; this system defines and writes this kind
+    Quarantine,
 }
 
 impl Kind {
     /// All kinds, in the order of their declaration
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::Configuration,
         Self::Endpoints,
         Self::Evacuations,
         Self::Hosts,
+        Self::Quarantine,
     ];
 
     /// Returns the name of the kind in store paths
@@ -51,6 +54,7 @@
             Self::Endpoints => "servers",
             Self::Evacuations => "evacuations",
             Self::Hosts => "entry-hosts",
+            Self::Quarantine => "quarantined-requests",
         }
     }
 }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -13,9 +13,13 @@
 
 use crate::id::EndpointId;
 
+mod register;
+
 #[cfg(test)]
 mod tests;
 
+pub use register::{EndpointRun, Record, Register, Source};
+
 /// Stable hash of what identifies a request
 pub type Key = u64;
 
@@ -164,16 +168,6 @@
         }
     }
 
-    /// Returns the number of suspects
-    pub fn suspect_count(&self) -> usize {
-        self.suspects.len()
-    }
-
-    /// Returns the number of refused requests
-    pub fn refused_count(&self) -> usize {
-        self.refused.len()
-    }
-
     /// Removes expired suspects and refusals
     pub fn expire(&mut self, now: Instant) {
         self.suspects.retain(|_, suspect| now < suspect.expires_at);
--- a/tests/crashing.rs
+++ b/tests/crashing.rs
@@ -39,6 +39,8 @@
     Empty,
     WithLength,
     Chunked,
+    /// One of the two, from one repeat to the next
+    Alternating,
 }
 
 /// What happens to the deployment meanwhile
@@ -76,11 +78,12 @@
 const DURATION: Duration = Duration::from_secs(18);
 
 /// Sends one request on a connection of its own; returns the status of the answer
-async fn send(host: SocketAddr, target: &str, id: &str, body: Body) -> Option<u16> {
+async fn send(host: SocketAddr, target: &str, id: &str, number: usize, body: Body) -> Option<u16> {
     let (method, framing, body) = match body {
         Body::Empty => ("GET", "", ""),
+        Body::Alternating if number.is_multiple_of(2) => ("POST", "Content-Length: 5\r\n", "renew"),
         Body::WithLength => ("POST", "Content-Length: 5\r\n", "renew"),
-        Body::Chunked => (
+        Body::Chunked | Body::Alternating => (
             "POST",
             "Transfer-Encoding: chunked\r\n",
             "5\r\nrenew\r\n0\r\n\r\n",
@@ -88,7 +91,7 @@
     };
     let request = format!(
         "{method} {target} HTTP/1.1\r\nHost: {HOST_NAME}\r\nAttempt-Id: {id}\r\n\
-         Cookie: lang=en; Affinity-Key=7\r\nRequest-Deadline: 2000\r\nConnection: close\r\n\
+         Cookie: visits={number}; Affinity-Key=7\r\nRequest-Deadline: 2000\r\nConnection: close\r\n\
          {framing}\r\n{body}"
     );
     let deadline = Instant::now() + client::REQUEST_TIMEOUT;
@@ -114,7 +117,7 @@
         let host = hosts[rng.usize(..hosts.len())];
         let target = target.clone();
         // Callers do not wait for each other's answers.
-        smol::spawn(async move { send(host, &target, &id, case.body).await }).detach();
+        smol::spawn(async move { send(host, &target, &id, sent, case.body).await }).detach();
         Timer::after(case.pause).await;
     }
 }
@@ -319,6 +322,8 @@
         case("idempotent", "/safe/", Body::Empty, 1, SLOW, None),
         case("at most once", "/once/", Body::WithLength, 1, SLOW, None),
         case("chunked body", "/once/", Body::Chunked, 1, SLOW, None),
+        case("other framing", "/once/", Body::Alternating, 1, SLOW, None),
+        case("two kinds", "/once/", Body::Alternating, 4, FAST, Restarts),
         case("several at once", "/safe/", Body::Empty, 3, SLOW, None),
         case("at a high rate", "/once/", Body::WithLength, 1, FAST, None),
         case("restarts", "/once/", Body::WithLength, 1, SLOW, Restarts),
