Encode a report once for all its recipients, and test datagrams across versions

Change: one encoding for the own region and one for the others; hosts of earlier versions read the first part of a datagram, as a test now shows; a measurement of a full register.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -88,7 +88,7 @@
             quarantine::merge(&gateway, *key, record, source);
         }
         if report.ping {
-            send_report(&gateway, &socket, sender, is_own_region, false).await;
+            send_reports(&gateway, &socket, &[(sender, is_own_region)], false).await;
         }
         detect_lag(&gateway, now, &watermarks, &mut lag, &resync_senders);
     }
@@ -124,7 +124,7 @@
     loop {
         let settings = gateway.settings.borrow().clone();
         let is_small = gateway.fleet.borrow().size() <= SMALL_FLEET_HOSTS;
-        let recipients: Vec<(SocketAddr, bool)> = gateway
+        let recipients: Vec<Recipient> = gateway
             .fleet
             .borrow()
             .members()
@@ -142,9 +142,7 @@
         interval.or(urgent_news).await;
         gateway.observe_demand(Instant::now());
         gateway.record_own_demand();
-        for (address, is_own_region) in recipients {
-            send_report(&gateway, &socket, address, is_own_region, false).await;
-        }
+        send_reports(&gateway, &socket, &recipients, false).await;
     }
 }
 
@@ -154,7 +152,7 @@
     loop {
         Timer::after(PING_INTERVAL).await;
         let home_region = gateway.settings.borrow().region.clone();
-        let watched: Vec<(SocketAddr, bool)> = {
+        let watched: Vec<Recipient> = {
             let fleet = gateway.fleet.borrow();
             let watched = fleet.successors();
             let watched = watched.iter();
@@ -162,82 +160,84 @@
                 .map(|member| (member.peer, member.region == home_region))
                 .collect()
         };
-        for (address, is_own_region) in watched {
-            send_report(&gateway, &socket, address, is_own_region, true).await;
-        }
+        send_reports(&gateway, &socket, &watched, true).await;
         if last_report.elapsed() < DEMAND_REPORT_INTERVAL {
             continue;
         }
         last_report = Instant::now();
-        let mut recipients: Vec<SocketAddr> = gateway
+        let mut recipients: Vec<Recipient> = gateway
             .fleet
             .borrow()
             .members()
             .filter(|member| member.region != home_region)
-            .map(|member| member.peer)
+            .map(|member| (member.peer, false))
             .collect();
         fastrand::shuffle(&mut recipients);
-        for address in recipients.into_iter().take(DEMAND_REPORT_HOSTS) {
-            send_report(&gateway, &socket, address, false, false).await;
-        }
+        recipients.truncate(DEMAND_REPORT_HOSTS);
+        send_reports(&gateway, &socket, &recipients, false).await;
     }
 }
 
-async fn send_report(
-    gateway: &Gateway,
-    socket: &UdpSocket,
-    to: SocketAddr,
-    to_own_region: bool,
-    ping: bool,
-) {
-    let report = {
-        let settings = gateway.settings.borrow();
-        Report {
-            host: settings.host.clone(),
-            region: settings.region.clone(),
-            ping,
-            demand: gateway.demand(),
-            running: gateway.pool.borrow().host_report(),
+/// Address of a host, and whether it is in the region of this one
+type Recipient = (SocketAddr, bool);
+
+/// Sends a report of this moment to each recipient
+async fn send_reports(gateway: &Gateway, socket: &UdpSocket, recipients: &[Recipient], ping: bool) {
+    let mut reports: BTreeMap<bool, Vec<u8>> = BTreeMap::new();
+    for (address, to_own_region) in recipients {
+        let report = reports
+            .entry(*to_own_region)
+            .or_insert_with(|| encode_report(gateway, *to_own_region, ping));
+        if let Err(error) = socket.send_to(report, address).await {
+            log::debug!("cannot send a report to {address}: {error}");
         }
+    }
+}
+
+fn encode_report(gateway: &Gateway, to_own_region: bool, ping: bool) -> Vec<u8> {
+    let settings = gateway.settings.borrow();
+    let report = Report {
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        ping,
+        demand: gateway.demand(),
+        running: gateway.pool.borrow().host_report(),
     };
+    let quarantine = gateway.quarantine.borrow();
     let message = Message {
         report,
         watermarks: gateway.mirror.borrow().watermarks(),
-        suspects: gateway
-            .quarantine
-            .borrow()
-            .news(Instant::now(), to_own_region),
+        suspects: quarantine.news(Instant::now(), to_own_region),
     };
-    match encode(&message) {
-        Ok(bytes) => {
-            if let Err(error) = socket.send_to(&bytes, to).await {
-                log::debug!("cannot send a report to {to}: {error}");
-            }
-        }
-        Err(error) => log::error!("cannot encode a report: {error}"),
-    }
+    encode(&message)
 }
 
 /// Content of a datagram
 #[derive(Debug, PartialEq)]
-struct Message {
-    report: Report,
-    watermarks: BTreeMap<Kind, Watermark>,
-    suspects: Vec<(Key, Record)>,
+pub struct Message {
+    /// Load and demand of the sender
+    pub report: Report,
+    /// What the sender has read of the store
+    pub watermarks: BTreeMap<Kind, Watermark>,
+    /// News of requests that crashed endpoints
+    pub suspects: Vec<(Key, Record)>,
 }
 
 /// Encodes a message in two parts, of which hosts of earlier versions read only the first
 ///
 /// These hosts do not know [`Kind::Quarantine`], so its watermark is in the second part.
-fn encode(message: &Message) -> Result<Vec<u8>, postcard::Error> {
+pub fn encode(message: &Message) -> Vec<u8> {
     let mut watermarks = message.watermarks.clone();
     let quarantine = watermarks.remove(&Kind::Quarantine);
-    let mut bytes = postcard::to_stdvec(&(&message.report, watermarks))?;
-    bytes.extend(postcard::to_stdvec(&(quarantine, &message.suspects))?);
-    Ok(bytes)
+    let known = postcard::to_stdvec(&(&message.report, watermarks));
+    let added = postcard::to_stdvec(&(quarantine, &message.suspects));
+    let mut bytes = known.expect("plain data is always encoded");
+    bytes.extend(added.expect("plain data is always encoded"));
+    bytes
 }
 
-fn decode(bytes: &[u8]) -> Result<Message, postcard::Error> {
+/// Decodes a message, also one of an earlier version
+pub fn decode(bytes: &[u8]) -> Result<Message, postcard::Error> {
     let ((report, mut watermarks), rest): ((Report, BTreeMap<Kind, Watermark>), _) =
         postcard::take_from_bytes(bytes)?;
     let mut suspects = Vec::new();
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -3,5 +3,6 @@
 mod cold;
 mod log;
 mod mirror;
+mod peers;
 mod reply;
 mod watch;
--- /dev/null
+++ b/src/gateway/tests/peers.rs
@@ -0,0 +1,77 @@
+//! Datagrams between hosts of this version and of earlier ones.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::fleet::{Report, Watermark};
+use crate::gateway::peers::{Message, decode, encode};
+use crate::platform::store::Kind;
+use crate::quarantine::Record;
+
+fn message(kinds: &[Kind], suspects: usize) -> Message {
+    let watermarks = kinds
+        .iter()
+        .map(|kind| (*kind, Watermark::new(7, 3)))
+        .collect();
+    let record = Record {
+        crashed: BTreeSet::from([1, u64::MAX]),
+        cleared: BTreeSet::from([3]),
+        age: Duration::from_millis(1500),
+    };
+    Message {
+        report: Report {
+            host: "edge-1".into(),
+            region: "north".into(),
+            ping: true,
+            demand: BTreeMap::from([("portal".into(), 1.5)]),
+            running: BTreeMap::from([(17, 2)]),
+        },
+        watermarks,
+        suspects: (0..suspects as u64)
+            .map(|key| (key, record.clone()))
+            .collect(),
+    }
+}
+
+/// Guards against hosts that take each other for silent while a fleet is updated host by host
+#[test]
+fn datagrams_are_understood_across_versions() {
+    struct Case {
+        name: &'static str,
+        kinds: &'static [Kind],
+        suspects: usize,
+    }
+    let cases = [
+        Case {
+            name: "host that read nothing yet",
+            kinds: &[],
+            suspects: 0,
+        },
+        Case {
+            name: "all kinds, no news",
+            kinds: &Kind::ALL,
+            suspects: 0,
+        },
+        Case {
+            name: "all kinds and news",
+            kinds: &Kind::ALL,
+            suspects: 3,
+        },
+    ];
+    for case in cases {
+        let sent = message(case.kinds, case.suspects);
+        let bytes = encode(&sent);
+        assert_eq!(decode(&bytes).ok().as_ref(), Some(&sent), "{}", case.name);
+        // Earlier versions read a report and the watermarks of the kinds that they know.
+        let known = |kind: &Kind| *kind != Kind::Quarantine;
+        let mut watermarks = sent.watermarks.clone();
+        watermarks.retain(|kind, _| known(kind));
+        let parsed: (Report, BTreeMap<Kind, Watermark>) =
+            postcard::from_bytes(&bytes).expect("the first part is as before");
+        assert_eq!(parsed, (sent.report.clone(), watermarks), "{}", case.name);
+        let earlier = postcard::to_stdvec(&parsed).expect("it is encoded");
+        let received = decode(&earlier).expect("the first part is enough");
+        assert_eq!(received.report, sent.report, "{}", case.name);
+        assert!(received.suspects.is_empty(), "{}", case.name);
+    }
+}
--- a/src/quarantine/register/tests/simulation.rs
+++ b/src/quarantine/register/tests/simulation.rs
@@ -355,6 +355,45 @@
     }
 }
 
+/// Returns the resident memory of this process, in bytes
+fn resident_bytes() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").expect("statm is readable");
+    let pages = statm.split(' ').nth(1).expect("statm has a second field");
+    pages.parse::<u64>().expect("a number of pages") * 4096
+}
+
+/// Prints the memory of a full register and the time of what a request costs there
+#[test]
+#[ignore = "measurement, prints figures of docs/CAPACITY.md"]
+fn cost_of_a_full_register() {
+    let now = Instant::now();
+    let before = resident_bytes();
+    let mut register = Register::new();
+    for key in 0..MAX_KEYS as u64 {
+        for run in 0..MAX_CRASHES as u64 {
+            register.record_crash(now, key, run);
+        }
+    }
+    register.record_success(now, Key::MAX);
+    let bytes = resident_bytes() - before;
+    let rounds = 1_000_000;
+    let started = Instant::now();
+    for key in 0..rounds {
+        std::hint::black_box(register.retry_after(now, std::hint::black_box(key << 20)));
+        register.record_success(now, Key::MAX - key);
+    }
+    let request = started.elapsed() / rounds as u32;
+    let started = Instant::now();
+    for _ in 0..100 {
+        std::hint::black_box((
+            register.news(now + NEWS_TTL, true),
+            register.next_unsaved(now),
+        ));
+    }
+    let report = started.elapsed() / 100;
+    println!("{MAX_KEYS} records: {bytes} bytes; {request:?} a request, {report:?} a report");
+}
+
 /// Prints what the reports of a fleet of the target size cost
 #[test]
 #[ignore = "measurement, prints figures of docs/CAPACITY.md"]
