Count the crash of an endpoint that falls silent

Change: an attempt without an answer is remembered for 15 s; another run of an endpoint at the same address in that time shows the crash. Result: the new table of cases passes; it is not shown over processes.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -281,7 +281,7 @@
         choice: &Choice,
     ) -> Result<EndpointAnswer, Failure> {
         let id = endpoint.id.clone();
-        let run = endpoint.run();
+        let (run, address) = (endpoint.run(), endpoint.address);
         self.tried_endpoints.push(id.clone());
         let attempt_timeout = (choice.expected_time
             + self.usual_duration(ServiceTime::cold) * SLOW_ATTEMPT_FACTOR)
@@ -316,8 +316,14 @@
             Err(failure) => {
                 self.run_attempts += 1;
                 self.may_have_run = true;
-                if let Failure::Crashed(error) = failure {
-                    self.record_crash(&id, run, error);
+                match failure {
+                    Failure::Crashed(error) => self.record_crash(&id, run, error),
+                    Failure::TimedOut | Failure::Abandoned => {
+                        let mut quarantine = self.gateway.quarantine.borrow_mut();
+                        let key = self.quarantine_key;
+                        quarantine.record_silence(Instant::now(), key, run, address);
+                    }
+                    _ => {}
                 }
             }
         }
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -10,6 +10,7 @@
 use smol::Timer;
 
 use super::{Gateway, record as log_record};
+use crate::id::EndpointId;
 use crate::platform::record;
 use crate::platform::store::{Error, Event, Kind, Object, Session};
 use crate::quarantine::{EndpointRun, Key, Record, Source};
@@ -69,6 +70,27 @@
     }
 }
 
+/// Records that an endpoint of the catalog started
+///
+/// An endpoint that had the same address and gave no answer has then crashed.
+pub fn record_endpoint_start(gateway: &Gateway, id: &EndpointId) {
+    let Some(endpoint) = gateway.catalog.borrow().get(id).cloned() else {
+        return;
+    };
+    let mut quarantine = gateway.quarantine.borrow_mut();
+    let keys = quarantine.record_endpoint_start(Instant::now(), endpoint.run(), endpoint.address);
+    drop(quarantine);
+    for key in keys {
+        gateway.metrics.count_crash();
+        gateway.send_news();
+        let fields = [
+            ("key", log_record::format_key(key).into()),
+            ("started", id.as_str().into()),
+        ];
+        gateway.recorder.event("suspect", &fields);
+    }
+}
+
 /// Merges what another host or the store tells of a request
 pub fn merge(gateway: &Gateway, key: Key, record: &Record, source: Source) {
     let now = Instant::now();
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -282,8 +282,10 @@
                 .iter()
                 .filter_map(|object| record::decode_endpoint(object, &zones));
             let started = gateway.catalog.borrow_mut().replace(now, list.collect());
-            let mut pool = gateway.pool.borrow_mut();
-            started.iter().for_each(|id| pool.remove_endpoint(id));
+            for id in &started {
+                gateway.pool.borrow_mut().remove_endpoint(id);
+                quarantine::record_endpoint_start(gateway, id);
+            }
         }
         Kind::Evacuations => apply_evacuations(gateway),
         Kind::Hosts => {
@@ -357,6 +359,7 @@
     match change {
         crate::catalog::Change::Started => {
             gateway.pool.borrow_mut().remove_endpoint(name);
+            quarantine::record_endpoint_start(gateway, name);
             gateway.recorder.event("endpoint-started", &fields);
         }
         crate::catalog::Change::Updated => gateway.recorder.event("endpoint-changed", &fields),
--- a/src/quarantine/register.rs
+++ b/src/quarantine/register.rs
@@ -10,7 +10,8 @@
 //! the third. A complete response clears the crashes known so far, and those that become known a
 //! moment later. That travels like other news and outlasts late news of these crashes.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -65,6 +66,13 @@
 /// Number of recent successes that are remembered
 const SUCCESS_SLOTS: usize = 8192;
 
+/// Time after an attempt without an answer during which a new run at the address of the endpoint shows
+/// that it crashed; crashed endpoints are back within seconds
+const DOUBT_TTL: Duration = Duration::from_secs(15);
+
+/// Maximum number of attempts without an answer that are remembered
+const MAX_DOUBTS: usize = 1024;
+
 /// Retry delay while a trial of the same request is running on this host
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -166,10 +174,21 @@
     }
 }
 
+/// Attempt that got no answer, so that the endpoint may have crashed
+#[derive(Debug)]
+struct Doubt {
+    ended_at: Instant,
+    key: Key,
+    run: EndpointRun,
+    address: SocketAddr,
+}
+
 /// Requests that crashed endpoints, as one host knows them
 #[derive(Debug, Default)]
 pub struct Register {
     entries: BTreeMap<Key, Entry>,
+    /// Latest attempts without an answer, oldest first
+    doubts: VecDeque<Doubt>,
     /// Recent successes, each in the slot of its key
     successes: Vec<Option<(Key, Instant)>>,
 }
@@ -194,6 +213,45 @@
             .map_or(0, |entry| entry.crashed.len())
     }
 
+    /// Records that an endpoint gave no answer to a request
+    pub fn record_silence(
+        &mut self,
+        now: Instant,
+        key: Key,
+        run: EndpointRun,
+        address: SocketAddr,
+    ) {
+        if self.doubts.len() >= MAX_DOUBTS {
+            self.doubts.pop_front();
+        }
+        self.doubts.push_back(Doubt {
+            ended_at: now,
+            key,
+            run,
+            address,
+        });
+    }
+
+    /// Records that an endpoint started; returns the requests during which the one that had its
+    /// address crashed
+    pub fn record_endpoint_start(
+        &mut self,
+        now: Instant,
+        run: EndpointRun,
+        address: SocketAddr,
+    ) -> Vec<Key> {
+        let is_recent = |doubt: &Doubt| now < doubt.ended_at + DOUBT_TTL;
+        let is_resolved = |doubt: &Doubt| doubt.address == address && doubt.run != run;
+        let doubts = std::mem::take(&mut self.doubts);
+        let (resolved, open): (VecDeque<Doubt>, _) =
+            doubts.into_iter().filter(is_recent).partition(is_resolved);
+        self.doubts = open;
+        let crashed = resolved
+            .into_iter()
+            .filter(|doubt| self.record_crash(now, doubt.key, doubt.run) > 0);
+        crashed.map(|doubt| doubt.key).collect()
+    }
+
     /// Merges a record; returns whether it tells of a crash or success that was not known
     ///
     /// If the store does not hold the result, this host writes it after `save_delay`.
--- a/src/quarantine/register/tests.rs
+++ b/src/quarantine/register/tests.rs
@@ -209,6 +209,57 @@
     assert!(register.retry_after(now, KEY).is_some());
 }
 
+/// Guards against crashes that are not counted, as the endpoint falls silent instead of closing its
+/// connections
+#[test]
+fn new_run_at_the_address_of_a_silent_endpoint_shows_a_crash() {
+    struct Case {
+        name: &'static str,
+        started: EndpointRun,
+        port: u16,
+        after: Duration,
+        is_crash: bool,
+    }
+    let case = Case {
+        name: "another run at the address",
+        started: 2,
+        port: 80,
+        after: Duration::from_secs(3),
+        is_crash: true,
+    };
+    let cases = [
+        Case {
+            name: "the same run",
+            started: 1,
+            is_crash: false,
+            ..case
+        },
+        Case {
+            name: "another address",
+            port: 81,
+            is_crash: false,
+            ..case
+        },
+        Case {
+            name: "much later",
+            after: DOUBT_TTL,
+            is_crash: false,
+            ..case
+        },
+        case,
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        let mut register = Register::new();
+        register.record_silence(now, KEY, 1, address(80));
+        let later = now + case.after;
+        let crashed = register.record_endpoint_start(later, case.started, address(case.port));
+        assert_eq!(!crashed.is_empty(), case.is_crash, "{}", case.name);
+        assert_eq!(register.count(1) > 0, case.is_crash, "{}", case.name);
+    }
+}
+
 #[test]
 fn suspects_are_not_placed_beside_each_other() {
     let now = Instant::now();
