Use endpoints that left together only while they still serve

Cause: entries that vanish together were taken for registrations that lapsed in an outage of the store and stayed usable for 2 s from the news; the bound is 2 s from the store's ack, and the store had never been away. Change: the 2 s count from the end of an outage that this host noticed; without one, entries that vanish together are used for 0.7 of the drain time, which the settings tell (drain_ms).

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,10 +1,11 @@
 //! Catalog of upstream endpoints, built from the entries in the platform's store.
 //!
 //! Load pattern: endpoints start, drain, crash and return while the store is unreachable. A removed
-//! entry ends at once, except after an outage of the store: then many registrations lapse together
-//! and return within [`LAPSE_GRACE_PERIOD`] if their endpoints are live, so they stay usable until
-//! then. An outage that affects only this host gives no grace period: the entries were removed for a
-//! reason that other hosts saw.
+//! entry ends at once, except if many vanish together: after an outage of the store registrations
+//! lapse and return within [`LAPSE_GRACE_PERIOD`] if their endpoints are live, so they stay usable
+//! until then. Without an outage that this host noticed, the endpoints may have left for good, so
+//! they are used only while they still serve. An outage that affects only this host gives few
+//! entries no grace period: they were removed for a reason that other hosts saw.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -24,6 +25,9 @@
 /// The platform specifies about two seconds until live endpoints are registered again.
 pub const LAPSE_GRACE_PERIOD: Duration = Duration::from_secs(2);
 
+/// Part of the drain time during which endpoints that left together without an outage are used
+const DRAIN_RATIO: f64 = 0.7;
+
 /// Ratio of all endpoints whose removal within the grace period indicates an outage of the store
 const MASS_REMOVAL_RATIO: f64 = 0.25;
 
@@ -78,14 +82,26 @@
     cold_until: BTreeMap<EndpointId, Instant>,
     evacuated_zones: BTreeSet<CompactString>,
     grace_period_end: Option<Instant>,
+    /// How long endpoints serve after the store removed their entries
+    drain_time: Duration,
+    /// End of the last outage of the store
+    outage_end: Option<Instant>,
     /// Times of the recent removals
     removal_times: Vec<Instant>,
 }
 
 impl Catalog {
-    /// Creates an empty catalog
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates an empty catalog of endpoints that serve for `drain_time` after they left
+    pub fn with_drain_time(drain_time: Duration) -> Self {
+        Self {
+            drain_time,
+            ..Self::default()
+        }
+    }
+
+    /// Records that the store can be read again after an outage
+    pub fn record_outage_end(&mut self, now: Instant) {
+        self.outage_end = Some(now);
     }
 
     /// Replaces all entries with the result of a full read; returns the endpoints that started
@@ -156,7 +172,7 @@
         let is_mass_removal = self.removal_times.len() as f64
             > (MASS_REMOVAL_RATIO * self.endpoints.len() as f64).max(3.0);
         if is_mass_removal && self.grace_period_end.is_none_or(|until| until < now) {
-            self.grace_period_end = Some(now + LAPSE_GRACE_PERIOD);
+            self.grace_period_end = Some(self.grace_period_end_after(now));
         }
         match self.grace_period_end {
             Some(until) if now < until => {
@@ -166,6 +182,18 @@
         }
     }
 
+    /// Returns until when endpoints whose entries vanish together now stay usable
+    ///
+    /// The drain time counts from the removal at the store, so a part of it is left for the way of
+    /// the news and of the request.
+    fn grace_period_end_after(&self, now: Instant) -> Instant {
+        let outage_end = self.outage_end.map(|end| end + LAPSE_GRACE_PERIOD);
+        match outage_end.filter(|until| now < *until) {
+            Some(until) => until,
+            None => now + self.drain_time.mul_f64(DRAIN_RATIO).min(LAPSE_GRACE_PERIOD),
+        }
+    }
+
     /// Removes and returns the lapsed entries that were not registered again in time
     pub fn expire(&mut self, now: Instant) -> Vec<EndpointId> {
         let expired = self.lapsed_until.iter().filter(|(_, until)| **until <= now);
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 fn endpoint(id: &str) -> Endpoint {
     Endpoint {
         id: id.into(),
@@ -55,7 +57,7 @@
     ];
     for case in cases {
         let now = Instant::now();
-        let mut catalog = Catalog::new();
+        let mut catalog = Catalog::with_drain_time(DRAIN_TIME);
         for i in 0..case.endpoints {
             catalog.put(now, endpoint(&format!("e{i}")));
         }
@@ -69,10 +71,64 @@
     }
 }
 
+/// Guards against requests to endpoints that left together while the store answered, which the
+/// platform forbids two seconds after the store has acknowledged it
+#[test]
+fn endpoints_that_left_together_are_used_for_too_long() {
+    struct Case {
+        name: &'static str,
+        /// Time since the end of an outage of the store, if there was one
+        outage_ended: Option<Duration>,
+        /// Time since the removals, and whether the endpoints are usable then
+        usable_after: &'static [(u64, bool)],
+    }
+    let cases = [
+        Case {
+            name: "no outage",
+            outage_ended: None,
+            usable_after: &[(0, true), (1000, true), (1500, false)],
+        },
+        Case {
+            name: "outage that just ended",
+            outage_ended: Some(Duration::ZERO),
+            usable_after: &[(1500, true), (1900, true), (2000, false)],
+        },
+        Case {
+            name: "outage that ended a second ago",
+            outage_ended: Some(Duration::from_secs(1)),
+            usable_after: &[(900, true), (1000, false)],
+        },
+        Case {
+            name: "outage long ago",
+            outage_ended: Some(Duration::from_secs(9)),
+            usable_after: &[(0, true), (1500, false)],
+        },
+    ];
+    for case in cases {
+        let outage_end = Instant::now();
+        let now = outage_end + case.outage_ended.unwrap_or_default();
+        let mut catalog = Catalog::with_drain_time(DRAIN_TIME);
+        for i in 0..8 {
+            catalog.put(outage_end, endpoint(&format!("e{i}")));
+        }
+        if case.outage_ended.is_some() {
+            catalog.record_outage_end(outage_end);
+        }
+        for i in 0..8 {
+            catalog.remove(now, &format!("e{i}").into());
+        }
+        for (millis, is_usable) in case.usable_after {
+            catalog.expire(now + Duration::from_millis(*millis));
+            let usable = !usable_ids(&catalog).is_empty();
+            assert_eq!(usable, *is_usable, "{} after {millis} ms", case.name);
+        }
+    }
+}
+
 #[test]
 fn lapsed_entry_that_returns_in_time_is_kept() {
     let now = Instant::now();
-    let mut catalog = Catalog::new();
+    let mut catalog = Catalog::with_drain_time(DRAIN_TIME);
     for i in 0..8 {
         catalog.put(now, endpoint(&format!("e{i}")));
     }
@@ -120,7 +176,7 @@
     ];
     for case in cases {
         let now = Instant::now();
-        let mut catalog = Catalog::new();
+        let mut catalog = Catalog::with_drain_time(DRAIN_TIME);
         catalog.put(now, endpoint("e"));
         let mut changed = endpoint("e");
         (case.change)(&mut changed);
@@ -138,7 +194,7 @@
 fn endpoints_of_a_restored_zone_are_cold() {
     let now = Instant::now();
     let warmup = Duration::from_secs(3);
-    let mut catalog = Catalog::new();
+    let mut catalog = Catalog::with_drain_time(DRAIN_TIME);
     catalog.put(now, endpoint("e"));
     catalog.set_evacuated_zones(now, ["z1".into()].into(), |_| warmup);
     assert!(usable_ids(&catalog).is_empty());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -110,10 +110,10 @@
     pub fn new(settings: Settings, executor: Rc<LocalExecutor<'static>>) -> Self {
         Self {
             fleet: RefCell::new(Fleet::new(settings.host.clone())),
+            catalog: RefCell::new(Catalog::with_drain_time(settings.drain_time)),
             settings: RefCell::new(settings),
             incarnation: fastrand::u64(1..),
             configuration: RefCell::default(),
-            catalog: RefCell::default(),
             pool: RefCell::default(),
             mirror: RefCell::default(),
             idle_connections: RefCell::default(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -40,6 +40,8 @@
     pub max_descriptors: usize,
     /// Time between SIGTERM and the end of the process
     pub grace_period: Duration,
+    /// How long an endpoint may receive requests after the store acknowledged that it leaves
+    pub drain_time: Duration,
     /// Maximum lifetime of a directory answer
     pub max_directory_ttl: Duration,
     /// Limit on retries of the whole fleet
--- a/src/gateway/tests/watch.rs
+++ b/src/gateway/tests/watch.rs
@@ -34,6 +34,7 @@
         weight: 1.0,
         memory_bytes: 64 << 20,
         max_descriptors: 256,
+        drain_time: Duration::from_secs(2),
         grace_period: Duration::from_secs(4),
         max_directory_ttl: Duration::from_secs(5),
         retry_bound: Bound {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -262,6 +262,9 @@
     let Some(outage) = gateway.mirror.borrow_mut().mark_read(now, kind) else {
         return;
     };
+    if kind == Kind::Endpoints {
+        gateway.catalog.borrow_mut().record_outage_end(now);
+    }
     let fields = [
         ("kind", format!("{kind:?}").into()),
         ("dark_ms", (outage.as_millis() as u64).into()),
--- a/src/platform/node.rs
+++ b/src/platform/node.rs
@@ -86,6 +86,8 @@
 struct Bounds {
     /// Time between SIGTERM and SIGKILL
     grace_s: f64,
+    /// Time after which an endpoint that leaves receives no more requests
+    drain_ms: f64,
     /// Maximum effective TTL of a directory response
     ttl_max_s: f64,
     /// Allowed retries per request
@@ -99,6 +101,7 @@
     fn default() -> Self {
         Self {
             grace_s: 6.0,
+            drain_ms: 2000.0,
             ttl_max_s: 5.0,
             retry_ratio: 0.1,
             retry_window_s: 10.0,
@@ -149,6 +152,7 @@
         memory_bytes: file.limits.memory_mb << 20,
         max_descriptors: file.limits.max_fds,
         grace_period: seconds(file.bounds.grace_s)?,
+        drain_time: seconds(file.bounds.drain_ms / 1000.0)?,
         max_directory_ttl: seconds(file.bounds.ttl_max_s)?,
         retry_bound: Bound {
             ratio: file.bounds.retry_ratio,
