Count the crash of an endpoint behind something that accepts connections

Seen: with a proxy before each endpoint, a request that crashes endpoints reached them 20 times, 14 of them later than 3 s after the third crash (new case 'endpoints behind proxies'). Cause: the same as of silent endpoints: the check for a refused connection found the proxy alive, so the broken attempt was no crash. Change: a broken attempt, too, counts as a crash if another run of the endpoint registers at the address within 15 s.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -318,7 +318,8 @@
                 self.may_have_run = true;
                 match failure {
                     Failure::Crashed(error) => self.record_crash(&id, run, error),
-                    Failure::TimedOut | Failure::Abandoned => {
+                    // Something in front of a crashed endpoint may still accept connections.
+                    Failure::Broken(_) | Failure::TimedOut | Failure::Abandoned => {
                         let mut quarantine = self.gateway.quarantine.borrow_mut();
                         let key = self.quarantine_key;
                         quarantine.record_silence(Instant::now(), key, run, address);
--- a/tests/crashing.rs
+++ b/tests/crashing.rs
@@ -57,6 +57,17 @@
     Cut,
     /// The first two hosts stand still for the first five seconds
     Pause,
+    /// A proxy before each endpoint accepts connections also while the endpoint does not run
+    Proxies,
+}
+
+impl Disturbance {
+    fn register(self, site: &mut Site, server: usize) {
+        match self {
+            Self::Proxies => site.register(server, "ready"),
+            _ => site.register_without_proxy(server),
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -208,7 +219,7 @@
 async fn play(case: Case) -> Vec<String> {
     let mut site = Site::start(3, 5).await;
     for index in 0..site.servers.len() {
-        site.register_without_proxy(index);
+        case.disturbance.register(&mut site, index);
     }
     let log = AttemptLog::default();
     let started = Instant::now();
@@ -248,6 +259,7 @@
             if crashed_at.elapsed() > RESTART_DELAY {
                 crashed.remove(&index);
                 site.restart_server(index).await;
+                case.disturbance.register(&mut site, index);
             }
         }
         Timer::after(Duration::from_millis(20)).await;
@@ -317,7 +329,7 @@
         pause,
         disturbance,
     };
-    use Disturbance::{Cut, None, Pause, Restarts, StoreAway, StoreAwayAndRestarts};
+    use Disturbance::{Cut, None, Pause, Proxies, Restarts, StoreAway, StoreAwayAndRestarts};
     let cases = [
         case("idempotent", "/safe/", Body::Empty, 1, SLOW, None),
         case("at most once", "/once/", Body::WithLength, 1, SLOW, None),
@@ -338,6 +350,14 @@
         ),
         case("cut off host", "/once/", Body::WithLength, 1, SLOW, Cut),
         case("hosts that pause", "/safe/", Body::Empty, 1, FAST, Pause),
+        case(
+            "endpoints behind proxies",
+            "/once/",
+            Body::WithLength,
+            1,
+            SLOW,
+            Proxies,
+        ),
     ];
     let only = std::env::var("CASE").ok();
     let cases: Vec<Case> = cases
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -200,13 +200,12 @@
         self.store.write("servers", server.endpoint.id(), entry);
     }
 
-    /// Starts an endpoint again that a request crashed, and registers it
+    /// Starts an endpoint again that a request crashed; it is not registered yet
     pub async fn restart_server(&mut self, index: usize) {
         let server = &mut self.servers[index];
         server.task = None;
         let started = server.endpoint.start(server.address).await;
         server.task = Some(started.expect("the endpoint listens again").1);
-        self.register_without_proxy(index);
     }
 
     /// Starts the process of a gateway
