Recognize repeats of a crashing request also if their query differs

Cause: the key has the whole target. Change: a request with a query has two keys, with and without it; an answer to any query of the path clears the latter, so other queries are not refused for long.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,14 +8,14 @@
 use super::exchange::{self, EndpointAnswer, Failure, InFlight, Limits};
 use super::reply::{Refusal, Reply};
 use super::upload::Upload;
-use super::{Gateway, record};
+use super::{Gateway, quarantine, record};
 use crate::catalog::Endpoint;
 use crate::id::{EndpointId, RegionId, ServiceId};
 use crate::message::{Request, timeout};
 use crate::placement::{Choice, Request as EndpointRequest, ServiceTime};
 use crate::platform::header;
 use crate::policy::{Execution, Route};
-use crate::quarantine::{self, EndpointRun};
+use crate::quarantine::EndpointRun;
 
 /// Timeout of a request if neither the caller nor the route states one
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -38,7 +38,7 @@
     request: &'a Request,
     route: Rc<Route>,
     service: ServiceId,
-    quarantine_key: quarantine::Key,
+    quarantine_keys: quarantine::Keys,
     affinity_key: Option<u64>,
     home_region: RegionId,
     region: Option<RegionId>,
@@ -116,14 +116,12 @@
     };
     let service = route.next_service().cloned();
     let service = service.ok_or_else(|| Refusal::new(404, "route without a service"))?;
-    let caller = header::caller_id(&request.headers);
-    let quarantine_key = quarantine::key(caller, &request.method, &request.target, upload.prefix());
-    if let Some(quarantined_for) = gateway
-        .quarantine
-        .borrow()
-        .retry_after(arrived, quarantine_key)
-    {
-        return Err(Refusal::quarantined(quarantine_key, quarantined_for));
+    let quarantine_keys = quarantine::Keys::new(request, upload.prefix());
+    if let Some(quarantined_for) = quarantine_keys.retry_after(gateway, arrived) {
+        return Err(Refusal::quarantined(
+            quarantine_keys.exact(),
+            quarantined_for,
+        ));
     }
     let caller_timeout = header::request_timeout(&request.headers);
     let time_limit = caller_timeout.or(route.timeout).unwrap_or(DEFAULT_TIMEOUT);
@@ -139,7 +137,7 @@
         affinity_key,
         route,
         service,
-        quarantine_key,
+        quarantine_keys,
         home_region: gateway.settings.borrow().region.clone(),
         region: None,
         arrived,
@@ -229,10 +227,7 @@
         let gateway = self.gateway;
         let catalog = gateway.catalog.borrow();
         let pool = gateway.pool.borrow();
-        let excluded_runs = gateway
-            .quarantine
-            .borrow()
-            .excluded_runs(self.quarantine_key);
+        let excluded_runs = self.quarantine_keys.excluded_runs(gateway);
         let allowed = &self.route.allowed_regions;
         let mut regions: BTreeMap<&RegionId, Vec<&Endpoint>> = BTreeMap::new();
         for endpoint in catalog.usable(&self.service) {
@@ -292,7 +287,7 @@
         };
         let rank = self.affinity_key.map(|_| choice.rank);
         let in_flight = InFlight::new(self.gateway, endpoint, self.route.name.clone(), rank);
-        let running = super::quarantine::Running::new(self.gateway, self.quarantine_key, run);
+        let running = quarantine::Running::new(self.gateway, self.quarantine_keys, run);
         let can_resend = upload.can_resend();
         let result = {
             let mut attempt = pin!(exchange::run(
@@ -320,9 +315,8 @@
                     Failure::Crashed(error) => self.record_crash(&id, run, error),
                     // Something in front of a crashed endpoint may still accept connections.
                     Failure::Broken(_) | Failure::TimedOut | Failure::Abandoned => {
-                        let mut quarantine = self.gateway.quarantine.borrow_mut();
-                        let key = self.quarantine_key;
-                        quarantine.record_silence(Instant::now(), key, run, address);
+                        self.quarantine_keys
+                            .record_silence(self.gateway, run, address);
                     }
                     _ => {}
                 }
@@ -334,16 +328,15 @@
     /// Records that an endpoint crashed with this request in flight
     fn record_crash(&self, endpoint: &EndpointId, run: EndpointRun, error: &str) {
         let now = Instant::now();
-        let mut quarantine = self.gateway.quarantine.borrow_mut();
-        let crashes = quarantine.record_crash(now, self.quarantine_key, run);
-        let refused_for = quarantine.retry_after(now, self.quarantine_key);
-        drop(quarantine);
-        self.gateway.metrics.count_crash();
-        self.gateway.send_news();
+        let crashes = self.quarantine_keys.record_crash(self.gateway, now, run);
+        let refused_for = self.quarantine_keys.retry_after(self.gateway, now);
         let attempt_id = header::attempt_id(&self.request.headers).unwrap_or("-");
         let fields = [
             ("id", attempt_id.into()),
-            ("key", record::format_key(self.quarantine_key).into()),
+            (
+                "key",
+                record::format_key(self.quarantine_keys.exact()).into(),
+            ),
             ("endpoint", endpoint.as_str().into()),
             ("error", error.into()),
             ("crashes", crashes.into()),
@@ -368,7 +361,7 @@
         let status = answer.head.status;
         // An endpoint may reject a request without running it.
         if status < 400 {
-            super::quarantine::record_success(self.gateway, self.quarantine_key);
+            self.quarantine_keys.record_success(self.gateway);
         }
         if status >= 500 && self.is_idempotent() && answer.remaining.is_none() {
             let failure = Failure::Broken(format!("status {status}"));
@@ -403,12 +396,7 @@
         if now >= self.deadline {
             return false;
         }
-        if let Some(quarantined_for) = self
-            .gateway
-            .quarantine
-            .borrow()
-            .retry_after(now, self.quarantine_key)
-        {
+        if let Some(quarantined_for) = self.quarantine_keys.retry_after(self.gateway, now) {
             log::debug!("quarantined for {quarantined_for:?}");
             return false;
         }
@@ -447,7 +435,7 @@
             .observe_request(&self.route.name, status, duration);
         self.gateway.recorder.request(&record::Request {
             attempt_id: header::attempt_id(&self.request.headers).unwrap_or("-"),
-            key: Some(self.quarantine_key),
+            key: Some(self.quarantine_keys.exact()),
             route: &self.route.name,
             service: &self.service,
             status,
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -4,6 +4,7 @@
 //! random delay that grows with the fleet, so that the store receives few writes for each record.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -11,9 +12,10 @@
 
 use super::{Gateway, record as log_record};
 use crate::id::EndpointId;
-use crate::platform::record;
+use crate::message::Request;
 use crate::platform::store::{Error, Event, Kind, Object, Session};
-use crate::quarantine::{EndpointRun, Key, Record, Source};
+use crate::platform::{header, record};
+use crate::quarantine::{self, EndpointRun, Key, Record, Source};
 
 /// Interval between two writes of a host to the store
 const SAVE_INTERVAL: Duration = Duration::from_millis(100);
@@ -37,36 +39,116 @@
 /// clocks differ
 const MAX_STORED_AGE: Duration = Duration::from_secs(25 * 3600);
 
+/// Keys under which the crashes of a request count
+///
+/// Repeats have the same path and body, but a query may change from one to the next. So a request
+/// with a query has a key with it and one without; an answer to any query of the path clears the
+/// latter.
+#[derive(Clone, Copy, Debug)]
+pub struct Keys {
+    exact: Key,
+    path: Key,
+}
+
+impl Keys {
+    /// Computes the keys of a request; `body` is its body or the first part of it
+    pub fn new(request: &Request, body: &[u8]) -> Self {
+        let caller = header::caller_id(&request.headers);
+        let key = |target| quarantine::key(caller, &request.method, target, body);
+        Self {
+            exact: key(&request.target),
+            path: key(request.path()),
+        }
+    }
+
+    /// Returns the key of exactly this request
+    pub fn exact(&self) -> Key {
+        self.exact
+    }
+
+    fn iter(&self) -> impl Iterator<Item = Key> {
+        let path = Some(self.path).filter(|path| *path != self.exact);
+        std::iter::once(self.exact).chain(path)
+    }
+
+    /// Returns the time until the request is accepted again, if it is refused now
+    pub fn retry_after(&self, gateway: &Gateway, now: Instant) -> Option<Duration> {
+        let quarantine = gateway.quarantine.borrow();
+        self.iter()
+            .filter_map(|key| quarantine.retry_after(now, key))
+            .max()
+    }
+
+    /// Returns the endpoint runs that the request must not use
+    pub fn excluded_runs(&self, gateway: &Gateway) -> BTreeSet<EndpointRun> {
+        let quarantine = gateway.quarantine.borrow();
+        self.iter()
+            .flat_map(|key| quarantine.excluded_runs(key))
+            .collect()
+    }
+
+    /// Records that this host saw an endpoint crash with the request in flight; returns the number
+    /// of crashes that count
+    pub fn record_crash(&self, gateway: &Gateway, now: Instant, run: EndpointRun) -> usize {
+        let mut quarantine = gateway.quarantine.borrow_mut();
+        let crashes = self
+            .iter()
+            .map(|key| quarantine.record_crash(now, key, run))
+            .max();
+        drop(quarantine);
+        gateway.metrics.count_crash();
+        gateway.send_news();
+        crashes.unwrap_or(0)
+    }
+
+    /// Records that an endpoint gave no answer to the request
+    pub fn record_silence(&self, gateway: &Gateway, run: EndpointRun, address: SocketAddr) {
+        let now = Instant::now();
+        let mut quarantine = gateway.quarantine.borrow_mut();
+        self.iter()
+            .for_each(|key| quarantine.record_silence(now, key, run, address));
+    }
+
+    /// Records a complete answer to the request
+    pub fn record_success(&self, gateway: &Gateway) {
+        let now = Instant::now();
+        let mut quarantine = gateway.quarantine.borrow_mut();
+        let cleared = self
+            .iter()
+            .filter(|key| quarantine.record_success(now, *key));
+        let cleared: Vec<Key> = cleared.collect();
+        drop(quarantine);
+        for key in cleared {
+            gateway.send_news();
+            let fields = [("key", log_record::format_key(key).into())];
+            gateway.recorder.event("cleared", &fields);
+        }
+    }
+}
+
 /// Marks a request as running on an endpoint while it exists
 pub struct Running<'a> {
     gateway: &'a Gateway,
-    key: Key,
+    keys: Keys,
     run: EndpointRun,
 }
 
 impl<'a> Running<'a> {
     /// Records that a request starts on an endpoint
-    pub fn new(gateway: &'a Gateway, key: Key, run: EndpointRun) -> Self {
-        gateway.quarantine.borrow_mut().record_start(key, run);
-        Self { gateway, key, run }
+    pub fn new(gateway: &'a Gateway, keys: Keys, run: EndpointRun) -> Self {
+        let mut quarantine = gateway.quarantine.borrow_mut();
+        keys.iter()
+            .for_each(|key| quarantine.record_start(key, run));
+        drop(quarantine);
+        Self { gateway, keys, run }
     }
 }
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         let mut quarantine = self.gateway.quarantine.borrow_mut();
-        quarantine.record_end(self.key, self.run);
-    }
-}
-
-/// Records a complete answer to a request
-pub fn record_success(gateway: &Gateway, key: Key) {
-    let mut quarantine = gateway.quarantine.borrow_mut();
-    if quarantine.record_success(Instant::now(), key) {
-        drop(quarantine);
-        gateway.send_news();
-        let fields = [("key", log_record::format_key(key).into())];
-        gateway.recorder.event("cleared", &fields);
+        let keys = self.keys.iter();
+        keys.for_each(|key| quarantine.record_end(key, self.run));
     }
 }
 
--- a/tests/crashing.rs
+++ b/tests/crashing.rs
@@ -126,7 +126,11 @@
         sent += 1;
         let id = format!("crash-{number}-{sent}");
         let host = hosts[rng.usize(..hosts.len())];
-        let target = target.clone();
+        let target = match case.body {
+            // A query may change from one repeat to the next.
+            Body::Empty => format!("{target}?page={sent}"),
+            _ => target.clone(),
+        };
         // Callers do not wait for each other's answers.
         smol::spawn(async move { send(host, &target, &id, sent, case.body).await }).detach();
         Timer::after(case.pause).await;
