--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -4,6 +4,9 @@
 //! temporarily once a second upstream does. Other requests in flight on the crashed upstream become
 //! suspects as well, so two suspects are never placed on the same upstream: a second crash then
 //! identifies its cause. A complete response clears a suspect.
+//!
+//! [`Tracker`] is what one `pier-entry` host knows of its zone; [`Register`] is what the `pier-gate`
+//! hosts of a whole fleet know together.
 
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
