--- a/tests/gate.rs
+++ b/tests/gate.rs
@@ -372,3 +372,37 @@
         drop(reader);
     });
 }
+
+/// Guards against requests to endpoints that left together while the store answered: the platform
+/// forbids them two seconds after the store has acknowledged it
+#[test]
+fn endpoints_that_left_together_get_requests_for_too_long() {
+    const DRAIN_TIME: Duration = Duration::from_secs(2);
+    smol::block_on(async {
+        let site = Site::start(2, 5).await;
+        let (clients, _) = start_clients(&site, Duration::from_secs(5));
+        Timer::after(Duration::from_secs(1)).await;
+        let leaving: Vec<_> = (0..site.servers.len())
+            .filter(|index| index % 5 < 3)
+            .map(|index| site.servers[index].endpoint.clone())
+            .collect();
+        for endpoint in &leaving {
+            site.store.remove("servers", endpoint.id());
+        }
+        let acknowledged_at = Instant::now();
+        for client in clients {
+            client.await;
+        }
+        for endpoint in leaving {
+            let starts = endpoint.run_starts();
+            let latest = starts.values().flatten().max().copied();
+            let latest = latest.expect("the endpoint served before it left");
+            let lateness = latest.saturating_duration_since(acknowledged_at);
+            assert!(
+                lateness <= DRAIN_TIME,
+                "{} got a request {lateness:?} after it left",
+                endpoint.id()
+            );
+        }
+    });
+}
