Failing test: a repeat with another affinity key crashes more endpoints

Arrivals now count also where a request only waited, and late ones from the third crash instead of the third arrival.

--- a/src/platform/standin/endpoint.rs
+++ b/src/platform/standin/endpoint.rs
@@ -38,6 +38,8 @@
     pub error_ratio: f64,
     /// Factor on the service time; 0 counts as 1
     pub slowdown_factor: u32,
+    /// Whether a crash leaves connections open without answers instead of closing them
+    pub silent_crash: bool,
 }
 
 /// Fixed properties of an endpoint
@@ -62,8 +64,12 @@
     starts: u64,
     /// Stops the endpoint; `None` while it does not run
     crash: Option<Sender<()>>,
+    /// Arrival times of accepted requests by attempt id
+    arrivals: BTreeMap<String, Vec<Instant>>,
     /// Start times of executed requests by attempt id
     run_starts: BTreeMap<String, Vec<Instant>>,
+    /// Attempts that crashed the endpoint, and when
+    crashes: Vec<(String, Instant)>,
     body_bytes: BTreeMap<String, usize>,
 }
 
@@ -97,6 +103,7 @@
             state.starts += 1;
             state.crash = Some(crash);
         }
+        let state = self.state.clone();
         let server = async move {
             // Dropping the task closes all connections, like killing a process.
             let executor = smol::Executor::new();
@@ -112,6 +119,9 @@
                 let _ = crashed.recv().await;
             };
             executor.run(accept_loop.or(crash)).await;
+            if lock(&state).faults.silent_crash {
+                std::future::pending::<()>().await;
+            }
         };
         Ok((local_address, smol::spawn(server)))
     }
@@ -145,6 +155,17 @@
         lock(&self.state).run_starts.clone()
     }
 
+    /// Returns the arrival times of requests for this endpoint by attempt id, also of those that only
+    /// waited
+    pub fn arrivals(&self) -> BTreeMap<String, Vec<Instant>> {
+        lock(&self.state).arrivals.clone()
+    }
+
+    /// Returns the attempts that crashed the endpoint, and when
+    pub fn crashes(&self) -> Vec<(String, Instant)> {
+        lock(&self.state).crashes.clone()
+    }
+
     /// Returns the body size of an executed request
     pub fn request_body_bytes(&self, attempt_id: &str) -> Option<usize> {
         lock(&self.state).body_bytes.get(attempt_id).copied()
@@ -191,15 +212,20 @@
         {
             return Some(encode_response(421, &format!("Instance-Id: {id}\r\n"), b""));
         }
-        if !self.acquire_slot().await {
-            return Some(encode_response(503, "Not-Executed: 1\r\n", b""));
-        }
-        let slot = SlotGuard(self.clone());
         let attempt_id = request
             .headers
             .get("Attempt-Id")
             .unwrap_or_default()
             .to_owned();
+        lock(&self.state)
+            .arrivals
+            .entry(attempt_id.clone())
+            .or_default()
+            .push(Instant::now());
+        if !self.acquire_slot().await {
+            return Some(encode_response(503, "Not-Executed: 1\r\n", b""));
+        }
+        let slot = SlotGuard(self.clone());
         let faults = {
             let mut state = lock(&self.state);
             state
@@ -213,6 +239,7 @@
             {
                 // The channel has room, as only this sender uses it, once.
                 let _ = crash.try_send(());
+                state.crashes.push((attempt_id.clone(), Instant::now()));
             }
             state.faults
         };
--- a/tests/crashing.rs
+++ b/tests/crashing.rs
@@ -8,12 +8,14 @@
 use std::time::{Duration, Instant};
 
 use smol::Timer;
-use tanagerpier::message::{Connection, timeout};
+use tanagerpier::id::EndpointId;
+use tanagerpier::platform::standin::endpoint;
 use tanagerpier::platform::standin::store::{Faults, Outage};
 
+use site::Site;
 use site::client::{self, AttemptLog};
 use site::proxy::Mode;
-use site::{HOST_NAME, Site};
+use site::repeat::{Affinity, Body, Load, Schedule, repeat};
 
 /// Number of crashes after which a request counts as one that crashes endpoints
 const CRASHES: usize = 3;
@@ -27,22 +29,15 @@
 /// Time until a crashed endpoint runs again
 const RESTART_DELAY: Duration = Duration::from_millis(1500);
 
+/// Time after its crash until the entry of an endpoint is removed that does not start again
+const ENTRY_TTL: Duration = Duration::from_millis(4500);
+
 /// Longest time for which an ordinary request may be refused after a crash beside it
 const MAX_REFUSAL: Duration = Duration::from_secs(12);
 
 /// Most ordinary requests that may fail: those that run beside a crashing one
 const MAX_FAILED_RATIO: f64 = 0.05;
 
-/// How the body of a crashing request is sent
-#[derive(Clone, Copy, Debug)]
-enum Body {
-    Empty,
-    WithLength,
-    Chunked,
-    /// One of the two, from one repeat to the next
-    Alternating,
-}
-
 /// What happens to the deployment meanwhile
 #[derive(Clone, Copy, Debug)]
 enum Disturbance {
@@ -59,84 +54,112 @@
     Pause,
     /// A proxy before each endpoint accepts connections also while the endpoint does not run
     Proxies,
+    /// Endpoints that crash neither close connections nor answer, and start again under their id
+    SilentCrashes,
+    /// The same, but other endpoints start in their place, elsewhere
+    SilentReplacement,
+    /// Endpoints lose power: connections to them stay open without answers, also when they run again
+    PowerLoss,
+    /// Another service gets the address of an endpoint that crashed, and another endpoint starts
+    /// elsewhere; the old entry stays for a while
+    Replacement,
 }
 
 impl Disturbance {
     fn register(self, site: &mut Site, server: usize) {
         match self {
-            Self::Proxies => site.register(server, "ready"),
+            Self::Proxies | Self::PowerLoss => site.register(server, "ready"),
             _ => site.register_without_proxy(server),
         }
     }
+
+    fn is_silent(self) -> bool {
+        matches!(
+            self,
+            Self::SilentCrashes | Self::SilentReplacement | Self::PowerLoss
+        )
+    }
+
+    /// Returns the time until a crashed endpoint runs again
+    fn restart_delay(self) -> Duration {
+        match self {
+            // The connection of the request that crashed it is still open then.
+            Self::PowerLoss => RESTART_DELAY / 2,
+            _ => RESTART_DELAY,
+        }
+    }
+
+    fn is_replacing(self) -> bool {
+        matches!(self, Self::SilentReplacement | Self::Replacement)
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Case {
     name: &'static str,
-    path: &'static str,
-    body: Body,
+    load: Load,
     /// Number of different requests of this kind at once
     requests: usize,
-    /// Time between two repeats of one of them, at a random host each
-    pause: Duration,
     disturbance: Disturbance,
+    /// Slots of an endpoint, and the time that a request takes in one
+    capacity: (usize, Duration),
+    duration: Duration,
 }
 
-const SLOW: Duration = Duration::from_millis(900);
-const FAST: Duration = Duration::from_millis(150);
+impl Case {
+    fn new(name: &'static str, path: &'static str, body: Body) -> Self {
+        let load = Load {
+            path,
+            body,
+            affinity: Affinity::Same,
+            schedule: Schedule::AtRandomHosts(SLOW),
+        };
+        Self {
+            name,
+            load,
+            requests: 1,
+            disturbance: Disturbance::None,
+            capacity: (3, Duration::from_millis(20)),
+            duration: Duration::from_secs(18),
+        }
+    }
 
-/// Time for which the requests are repeated
-const DURATION: Duration = Duration::from_secs(18);
-
-/// Sends one request on a connection of its own; returns the status of the answer
-async fn send(host: SocketAddr, target: &str, id: &str, number: usize, body: Body) -> Option<u16> {
-    let (method, framing, body) = match body {
-        Body::Empty => ("GET", "", ""),
-        Body::Alternating if number.is_multiple_of(2) => ("POST", "Content-Length: 5\r\n", "renew"),
-        Body::WithLength => ("POST", "Content-Length: 5\r\n", "renew"),
-        Body::Chunked | Body::Alternating => (
-            "POST",
-            "Transfer-Encoding: chunked\r\n",
-            "5\r\nrenew\r\n0\r\n\r\n",
-        ),
-    };
-    let request = format!(
-        "{method} {target} HTTP/1.1\r\nHost: {HOST_NAME}\r\nAttempt-Id: {id}\r\n\
-         Cookie: visits={number}; Affinity-Key=7\r\nRequest-Deadline: 2000\r\nConnection: close\r\n\
-         {framing}\r\n{body}"
-    );
-    let deadline = Instant::now() + client::REQUEST_TIMEOUT;
-    let exchange = async {
-        let mut connection = Connection::connect(host, Duration::from_secs(1))
-            .await
-            .ok()?;
-        connection.write(request.as_bytes(), deadline).await.ok()?;
-        let response = connection.read_response(method).await.ok()?;
-        Some(response.status)
-    };
-    timeout(deadline, exchange).await.flatten()
-}
+    fn with_requests(self, requests: usize) -> Self {
+        Self { requests, ..self }
+    }
 
-/// Repeats a crashing request at random hosts until `end`
-async fn repeat(hosts: Vec<SocketAddr>, case: Case, number: usize, end: Instant) {
-    let mut rng = fastrand::Rng::with_seed(number as u64);
-    let target = format!("{}crash-{number}", case.path);
-    let mut sent = 0;
-    while Instant::now() < end {
-        sent += 1;
-        let id = format!("crash-{number}-{sent}");
-        let host = hosts[rng.usize(..hosts.len())];
-        let target = match case.body {
-            // A query may change from one repeat to the next.
-            Body::Empty => format!("{target}?page={sent}"),
-            _ => target.clone(),
-        };
-        // Callers do not wait for each other's answers.
-        smol::spawn(async move { send(host, &target, &id, sent, case.body).await }).detach();
-        Timer::after(case.pause).await;
+    fn with_disturbance(self, disturbance: Disturbance) -> Self {
+        Self {
+            disturbance,
+            ..self
+        }
+    }
+
+    fn with_affinity(mut self, affinity: Affinity) -> Self {
+        self.load.affinity = affinity;
+        self
+    }
+
+    fn with_schedule(mut self, schedule: Schedule) -> Self {
+        self.load.schedule = schedule;
+        self
     }
 }
 
+/// Pause between two repeats of a request
+const SLOW: Duration = Duration::from_millis(900);
+const FAST: Duration = Duration::from_millis(150);
+
+/// Slots and service time at which ordinary requests wait for each other
+const BUSY: (usize, Duration) = (1, Duration::from_millis(90));
+
+/// The pause of a request that the same host gets again long after
+const LONG_REST: Schedule = Schedule::AtFirstHost {
+    pause: FAST,
+    burst: Duration::from_secs(2),
+    rest: Duration::from_secs(44),
+};
+
 /// Applies the part of a disturbance that is due; `step` counts the parts already applied
 async fn disturb(site: &mut Site, disturbance: Disturbance, elapsed: Duration, step: &mut usize) {
     let second = elapsed.as_secs();
@@ -181,21 +204,38 @@
     }
 }
 
-/// Arrivals of each crashing request at endpoints, in order
-fn arrivals(site: &Site) -> BTreeMap<String, Vec<Instant>> {
-    let mut arrivals: BTreeMap<String, Vec<Instant>> = BTreeMap::new();
-    for server in &site.servers {
-        for (id, starts) in server.endpoint.run_starts() {
-            if let Some((request, _)) = id.rsplit_once('-').filter(|_| id.starts_with("crash-")) {
-                arrivals
-                    .entry(request.to_owned())
-                    .or_default()
-                    .extend(starts);
+/// What endpoints saw of one crashing request
+#[derive(Debug, Default)]
+struct Sighting {
+    arrivals: Vec<Instant>,
+    crashes: Vec<Instant>,
+}
+
+/// Returns what endpoints saw of each crashing request, by its name
+fn sightings(site: &Site) -> BTreeMap<String, Sighting> {
+    let mut sightings: BTreeMap<String, Sighting> = BTreeMap::new();
+    let name = |id: &str| {
+        let crashing = id.starts_with(endpoint::CRASH_MARKER);
+        let name = id.rsplit_once('-').filter(|_| crashing);
+        name.map(|(name, _)| name.to_owned())
+    };
+    let running = site.servers.iter().map(|server| &server.endpoint);
+    for endpoint in running.chain(&site.former_endpoints) {
+        for (id, arrivals) in endpoint.arrivals() {
+            if let Some(name) = name(&id) {
+                sightings.entry(name).or_default().arrivals.extend(arrivals);
+            }
+        }
+        for (id, crash) in endpoint.crashes() {
+            if let Some(name) = name(&id) {
+                sightings.entry(name).or_default().crashes.push(crash);
             }
         }
     }
-    arrivals.values_mut().for_each(|times| times.sort());
-    arrivals
+    sightings
+        .values_mut()
+        .for_each(|sighting| sighting.crashes.sort());
+    sightings
 }
 
 /// Returns the longest time for which requests with one target got 429 and nothing else
@@ -219,15 +259,27 @@
     longest
 }
 
+/// Sets how an endpoint behaves when it crashes
+fn set_crash_kind(site: &Site, index: usize, disturbance: Disturbance) {
+    site.servers[index].endpoint.set_faults(endpoint::Faults {
+        silent_crash: disturbance.is_silent(),
+        ..endpoint::Faults::default()
+    });
+}
+
 /// Plays a case; returns what broke
 async fn play(case: Case) -> Vec<String> {
-    let mut site = Site::start(3, 5).await;
+    let mut site = Site::start_with_capacity(3, 5, case.capacity).await;
     for index in 0..site.servers.len() {
         case.disturbance.register(&mut site, index);
+        set_crash_kind(&site, index, case.disturbance);
+        if matches!(case.disturbance, Disturbance::PowerLoss) {
+            site.servers[index].proxy.hide_target_loss();
+        }
     }
     let log = AttemptLog::default();
     let started = Instant::now();
-    let end = started + DURATION;
+    let end = started + case.duration;
     let hosts: Vec<SocketAddr> = site
         .gateways
         .iter()
@@ -249,9 +301,13 @@
     // Hosts then have open connections to the endpoints.
     Timer::after(Duration::from_millis(500)).await;
     let repeats: Vec<smol::Task<()>> = (0..case.requests)
-        .map(|number| smol::spawn(repeat(hosts.clone(), case, number, end)))
+        .map(|number| {
+            let name = format!("{}-{number}", endpoint::CRASH_MARKER);
+            smol::spawn(repeat(hosts.clone(), case.load, name, number as u64, end))
+        })
         .collect();
     let mut crashed: BTreeMap<usize, Instant> = BTreeMap::new();
+    let mut outdated_entries: Vec<(EndpointId, Instant)> = Vec::new();
     let mut step = 0;
     while Instant::now() < end {
         disturb(&mut site, case.disturbance, started.elapsed(), &mut step).await;
@@ -260,12 +316,27 @@
                 continue;
             }
             let crashed_at = *crashed.entry(index).or_insert_with(Instant::now);
-            if crashed_at.elapsed() > RESTART_DELAY {
-                crashed.remove(&index);
+            if crashed_at.elapsed() <= case.disturbance.restart_delay() {
+                continue;
+            }
+            crashed.remove(&index);
+            if case.disturbance.is_replacing() {
+                let id = site.servers[index].endpoint.id().into();
+                outdated_entries.push((id, crashed_at + ENTRY_TTL));
+                site.replace_server(index).await;
+            } else {
                 site.restart_server(index).await;
-                case.disturbance.register(&mut site, index);
             }
+            case.disturbance.register(&mut site, index);
+            set_crash_kind(&site, index, case.disturbance);
         }
+        let now = Instant::now();
+        outdated_entries.retain(|(id, until)| {
+            if *until <= now {
+                site.store.remove("servers", id);
+            }
+            now < *until
+        });
         Timer::after(Duration::from_millis(20)).await;
     }
     for task in repeats.into_iter().chain(ordinary) {
@@ -276,18 +347,22 @@
 
 fn check(site: &Site, log: &AttemptLog, case: Case) -> Vec<String> {
     let mut broken = Vec::new();
-    let arrivals = arrivals(site);
     let mut summary = Vec::new();
-    for (request, times) in &arrivals {
-        let late = match times.get(CRASHES - 1) {
+    for (request, sighting) in &sightings(site) {
+        let times = &sighting.arrivals;
+        let late = match sighting.crashes.get(CRASHES - 1) {
             Some(third) => times.iter().filter(|time| **time > *third + STABLE).count(),
             None => 0,
         };
-        summary.push(format!("{} ({late} late)", times.len()));
+        summary.push(format!(
+            "{} ({late} late, {} crashes)",
+            times.len(),
+            sighting.crashes.len()
+        ));
         if late > MAX_LATE_SENDS {
             broken.push(format!(
                 "{}: {request} reached endpoints {} times, {late} of them later than {STABLE:?} \
-                 after the third",
+                 after the third crash",
                 case.name,
                 times.len()
             ));
@@ -323,50 +398,13 @@
     broken
 }
 
-#[test]
-fn request_that_crashed_three_endpoints_is_sent_again() {
-    let case = |name, path, body, requests, pause, disturbance| Case {
-        name,
-        path,
-        body,
-        requests,
-        pause,
-        disturbance,
-    };
-    use Disturbance::{Cut, None, Pause, Proxies, Restarts, StoreAway, StoreAwayAndRestarts};
-    let cases = [
-        case("idempotent", "/safe/", Body::Empty, 1, SLOW, None),
-        case("at most once", "/once/", Body::WithLength, 1, SLOW, None),
-        case("chunked body", "/once/", Body::Chunked, 1, SLOW, None),
-        case("other framing", "/once/", Body::Alternating, 1, SLOW, None),
-        case("two kinds", "/once/", Body::Alternating, 4, FAST, Restarts),
-        case("several at once", "/safe/", Body::Empty, 3, SLOW, None),
-        case("at a high rate", "/once/", Body::WithLength, 1, FAST, None),
-        case("restarts", "/once/", Body::WithLength, 1, SLOW, Restarts),
-        case("store away", "/once/", Body::WithLength, 1, SLOW, StoreAway),
-        case(
-            "store away and restarts",
-            "/safe/",
-            Body::Empty,
-            1,
-            SLOW,
-            StoreAwayAndRestarts,
-        ),
-        case("cut off host", "/once/", Body::WithLength, 1, SLOW, Cut),
-        case("hosts that pause", "/safe/", Body::Empty, 1, FAST, Pause),
-        case(
-            "endpoints behind proxies",
-            "/once/",
-            Body::WithLength,
-            1,
-            SLOW,
-            Proxies,
-        ),
-    ];
+/// Plays the cases, or the one that the variable `CASE` names; panics with what broke
+fn play_all(cases: &[Case]) {
     let only = std::env::var("CASE").ok();
     let cases: Vec<Case> = cases
-        .into_iter()
+        .iter()
         .filter(|case| only.as_ref().is_none_or(|only| case.name == only))
+        .copied()
         .collect();
     let names: BTreeSet<&str> = cases.iter().map(|case| case.name).collect();
     assert_eq!(names.len(), cases.len(), "each case has a name of its own");
@@ -386,3 +424,66 @@
     }
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+#[test]
+fn request_that_crashed_three_endpoints_is_sent_again() {
+    use Body::{Alternating, Chunked, Empty, WithLength};
+    let fast = Schedule::AtRandomHosts(FAST);
+    let cases = [
+        Case::new("idempotent", "/safe/", Empty),
+        Case::new("at most once", "/once/", WithLength),
+        Case::new("chunked body", "/once/", Chunked),
+        Case::new("other framing", "/once/", Alternating),
+        Case::new("two kinds", "/once/", Alternating)
+            .with_requests(4)
+            .with_schedule(fast)
+            .with_disturbance(Disturbance::Restarts),
+        Case::new("several at once", "/safe/", Empty).with_requests(3),
+        Case::new("at a high rate", "/once/", WithLength).with_schedule(fast),
+        Case::new("restarts", "/once/", WithLength).with_disturbance(Disturbance::Restarts),
+        Case::new("store away", "/once/", WithLength).with_disturbance(Disturbance::StoreAway),
+        Case::new("store away and restarts", "/safe/", Empty)
+            .with_disturbance(Disturbance::StoreAwayAndRestarts),
+        Case::new("cut off host", "/once/", WithLength).with_disturbance(Disturbance::Cut),
+        Case::new("hosts that pause", "/safe/", Empty)
+            .with_schedule(fast)
+            .with_disturbance(Disturbance::Pause),
+        Case::new("endpoints behind proxies", "/once/", WithLength)
+            .with_disturbance(Disturbance::Proxies),
+        Case::new("silent crashes", "/safe/", Empty).with_disturbance(Disturbance::SilentCrashes),
+        Case::new("silent crashes, at most once", "/once/", WithLength)
+            .with_disturbance(Disturbance::SilentCrashes),
+        Case::new("silent crashes and replacement", "/once/", WithLength)
+            .with_disturbance(Disturbance::SilentReplacement),
+        Case::new("power loss", "/safe/", Empty).with_disturbance(Disturbance::PowerLoss),
+        Case::new("power loss, at most once", "/once/", WithLength)
+            .with_disturbance(Disturbance::PowerLoss),
+        Case::new("replacement", "/safe/", Empty).with_disturbance(Disturbance::Replacement),
+        Case::new("replacement, at most once", "/once/", WithLength)
+            .with_disturbance(Disturbance::Replacement),
+        Case {
+            capacity: BUSY,
+            ..Case::new("requests that wait", "/safe/", Empty).with_schedule(fast)
+        },
+        Case {
+            duration: Duration::from_secs(50),
+            ..Case::new("the same host later", "/safe/", Empty).with_schedule(LONG_REST)
+        },
+        Case::new("no affinity key", "/safe/", Empty).with_affinity(Affinity::None),
+    ];
+    play_all(&cases);
+}
+
+#[test]
+fn request_that_crashed_three_endpoints_is_sent_again_with_another_affinity_key() {
+    let cases = [
+        Case::new("another affinity key", "/safe/", Body::Empty).with_affinity(Affinity::Changing),
+        Case::new(
+            "another affinity key, at most once",
+            "/once/",
+            Body::WithLength,
+        )
+        .with_affinity(Affinity::Changing),
+    ];
+    play_all(&cases);
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod process;
 pub mod proxy;
+pub mod repeat;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -36,6 +37,15 @@
 /// Seconds between SIGTERM and SIGKILL
 pub const STOP_GRACE_SECS: u64 = 4;
 
+/// Service that no route leads to
+pub const OTHER_SERVICE: &str = "library";
+
+/// Number of retries that the whole fleet may always make, unless a test states another
+const DEFAULT_RETRY_SLACK: u32 = 60;
+
+/// Slots of an endpoint and the time that a request takes in one, unless a test states others
+const DEFAULT_CAPACITY: (usize, Duration) = (3, Duration::from_millis(20));
+
 /// Name of the host in requests
 pub const HOST_NAME: &str = "portal.example";
 
@@ -66,8 +76,12 @@
     pub gateways: Vec<Gateway>,
     pub servers: Vec<Server>,
     pub version: u64,
+    /// Endpoints that ended and whose addresses others have now
+    pub former_endpoints: Vec<Endpoint>,
     /// Number of retries that the whole fleet may always make
     retry_slack: u32,
+    /// Number of slots of an endpoint and the time that a request takes in one
+    capacity: (usize, Duration),
     directory: PathBuf,
     subnet: [u8; 2],
 }
@@ -76,12 +90,31 @@
     /// Starts `gateways` gateways and `servers` endpoints in each region and waits until all
     /// gateways are ready
     pub async fn start(gateways: u8, servers: u8) -> Self {
-        Self::start_with_retry_slack(gateways, servers, 60).await
+        Self::start_with_retry_slack(gateways, servers, DEFAULT_RETRY_SLACK).await
     }
 
     /// Starts a deployment as [`Site::start`] does, with the given number of retries that are
     /// always allowed
     pub async fn start_with_retry_slack(gateways: u8, servers: u8, retry_slack: u32) -> Self {
+        Self::start_with(gateways, servers, retry_slack, DEFAULT_CAPACITY).await
+    }
+
+    /// Starts a deployment as [`Site::start`] does, whose endpoints have the given slots and time
+    /// that a request takes
+    pub async fn start_with_capacity(
+        gateways: u8,
+        servers: u8,
+        capacity: (usize, Duration),
+    ) -> Self {
+        Self::start_with(gateways, servers, DEFAULT_RETRY_SLACK, capacity).await
+    }
+
+    async fn start_with(
+        gateways: u8,
+        servers: u8,
+        retry_slack: u32,
+        capacity: (usize, Duration),
+    ) -> Self {
         let subnet = reserve_subnet().await;
         let store = Store::new();
         let store_address = store
@@ -95,7 +128,9 @@
             gateways: Vec::new(),
             servers: Vec::new(),
             version: 0,
+            former_endpoints: Vec::new(),
             retry_slack,
+            capacity,
             directory,
             subnet,
         };
@@ -157,8 +192,8 @@
     pub async fn add_server(&mut self, region: &'static str, number: u8) {
         let endpoint = Endpoint::new(Options {
             id: format!("i-{region}-{number}"),
-            slots: 3,
-            service_time: Duration::from_millis(20),
+            slots: self.capacity.0,
+            service_time: self.capacity.1,
             response_bytes: 2000,
         });
         let own_address = address(self.subnet, 100 + number, 0);
@@ -203,11 +238,43 @@
     /// Starts an endpoint again that a request crashed; it is not registered yet
     pub async fn restart_server(&mut self, index: usize) {
         let server = &mut self.servers[index];
-        server.task = None;
+        stop(server).await;
         let started = server.endpoint.start(server.address).await;
         server.task = Some(started.expect("the endpoint listens again").1);
     }
 
+    /// Gives the address of an endpoint that crashed to one of another service, and starts another
+    /// one of its service elsewhere; the entry of the crashed one stays until it is removed
+    pub async fn replace_server(&mut self, index: usize) {
+        let number = self.former_endpoints.len();
+        let server = &mut self.servers[index];
+        let options = |id: String| Options {
+            id,
+            slots: self.capacity.0,
+            service_time: self.capacity.1,
+            response_bytes: 2000,
+        };
+        stop(server).await;
+        let successor = Endpoint::new(options(format!("i-successor-{number}")));
+        let own_address = SocketAddr::new(server.address.ip(), 0);
+        let (address, task) = successor
+            .start(own_address)
+            .await
+            .expect("the endpoint listens");
+        let other = Endpoint::new(options(format!("l-other-{number}")));
+        let (_, other_task) = other
+            .start(server.address)
+            .await
+            .expect("the endpoint listens at the address of the crashed one");
+        other_task.detach();
+        let entry = other.store_spec(OTHER_SERVICE, server.region, server.address, "ready");
+        self.store.write("servers", other.id(), entry);
+        server.address = address;
+        server.task = Some(task);
+        let former = std::mem::replace(&mut server.endpoint, successor);
+        self.former_endpoints.push(former);
+    }
+
     /// Starts the process of a gateway
     pub fn start_gateway(&mut self, index: usize) {
         self.start_gateway_with_output(index, None);
@@ -310,6 +377,13 @@
     }
 }
 
+/// Closes all sockets of an endpoint
+async fn stop(server: &mut Server) {
+    if let Some(task) = server.task.take() {
+        task.cancel().await;
+    }
+}
+
 /// Polls until the condition holds; panics after [`WAIT_TIMEOUT`]
 pub async fn wait_until<F: Future<Output = bool>>(condition: &str, mut is_met: impl FnMut() -> F) {
     let deadline = Instant::now() + WAIT_TIMEOUT;
--- a/tests/site/proxy.rs
+++ b/tests/site/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::time::Duration;
 
 use smol::Timer;
@@ -41,6 +41,7 @@
 pub struct Proxy {
     pub address: SocketAddr,
     mode: Arc<AtomicU8>,
+    hides_target_loss: Arc<AtomicBool>,
     _task: smol::Task<()>,
 }
 
@@ -53,15 +54,19 @@
         let address = listener.local_addr().expect("the listener has an address");
         let mode = Arc::new(AtomicU8::new(0));
         let shared_mode = mode.clone();
+        let hides_target_loss = Arc::new(AtomicBool::new(false));
+        let hides = hides_target_loss.clone();
         let accept_loop = async move {
             while let Ok((client, _)) = listener.accept().await {
                 let mode = shared_mode.clone();
-                smol::spawn(async move { relay(client, target, mode).await }).detach();
+                let hides = hides.clone();
+                smol::spawn(async move { relay(client, target, mode, &hides).await }).detach();
             }
         };
         Self {
             address,
             mode,
+            hides_target_loss,
             _task: smol::spawn(accept_loop),
         }
     }
@@ -70,13 +75,18 @@
     pub fn set_mode(&self, mode: Mode) {
         self.mode.store(mode as u8, Ordering::SeqCst);
     }
+
+    /// Keeps connections open whose target is gone, like a network to a machine without power
+    pub fn hide_target_loss(&self) {
+        self.hides_target_loss.store(true, Ordering::SeqCst);
+    }
 }
 
 fn current_mode(mode: &AtomicU8) -> Mode {
     MODES[usize::from(mode.load(Ordering::SeqCst))]
 }
 
-async fn relay(client: TcpStream, target: SocketAddr, mode: Arc<AtomicU8>) {
+async fn relay(client: TcpStream, target: SocketAddr, mode: Arc<AtomicU8>, hides: &AtomicBool) {
     while matches!(current_mode(&mode), Mode::Silent) {
         Timer::after(Duration::from_millis(20)).await;
     }
@@ -87,7 +97,12 @@
         return;
     };
     let upload = copy(client.clone(), server.clone(), mode.clone(), false);
-    let download = copy(server, client, mode.clone(), true);
+    let download = async {
+        copy(server, client, mode.clone(), true).await;
+        if hides.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
+    };
     let reset = async {
         while current_mode(&mode) != Mode::Reset {
             Timer::after(Duration::from_millis(10)).await;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -132,6 +132,7 @@
                 extra_response_ratio: 0.1,
                 error_ratio: 0.2,
                 slowdown_factor: 4,
+                ..endpoint::Faults::default()
             });
             Some(Recovery::RestoreServer(server))
         }
