Count crashes on one path across the callers that send it

What callers saw: a request whose affinity key changes from one repeat to the next was sent on for as long as it came (40 arrivals, 30 late in 18 s), since the affinity key is part of the quarantine key. No header names the caller, so the affinity key stood for it. Change: a request has a third key without caller and query (quarantine::Keys). Only the first crash of each caller's request counts there, so repeats of one caller never refuse another; any answer on the path clears it, and its refusal after three crashes lasts 5 to 8 minutes instead of an hour. A cleared suspect no longer keeps endpoints from others. A silence that is noticed after another run has the address counts as a crash at once: catalog::Catalog::has_successor.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -254,6 +254,14 @@
             .filter(|endpoint| !endpoint.draining && !self.evacuated_zones.contains(&endpoint.zone))
     }
 
+    /// Returns whether a later run is registered at the address of an endpoint, which has then ended
+    pub fn has_successor(&self, endpoint: &Endpoint) -> bool {
+        self.endpoints.values().any(|other| {
+            other.address == endpoint.address
+                && other.start_unix_millis > endpoint.start_unix_millis
+        })
+    }
+
     /// Returns all endpoints
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values()
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -203,3 +203,70 @@
     assert!(catalog.is_cold(now, &"e".into()));
     assert!(!catalog.is_cold(now + warmup, &"e".into()));
 }
+
+#[test]
+fn later_run_at_the_address_is_a_successor() {
+    struct Case {
+        name: &'static str,
+        id: &'static str,
+        port: u16,
+        start_unix_millis: Option<u64>,
+        is_successor: bool,
+    }
+    let case = Case {
+        name: "later run under the same id",
+        id: "a",
+        port: 80,
+        start_unix_millis: Some(2),
+        is_successor: true,
+    };
+    let cases = [
+        Case {
+            name: "the same run",
+            start_unix_millis: Some(1),
+            is_successor: false,
+            ..case
+        },
+        Case {
+            name: "later run under another id",
+            id: "b",
+            ..case
+        },
+        Case {
+            name: "earlier run whose entry is still there",
+            id: "b",
+            start_unix_millis: Some(0),
+            is_successor: false,
+            ..case
+        },
+        Case {
+            name: "another address",
+            id: "b",
+            port: 81,
+            is_successor: false,
+            ..case
+        },
+        Case {
+            name: "unknown start",
+            id: "b",
+            start_unix_millis: None,
+            is_successor: false,
+            ..case
+        },
+        case,
+    ];
+    for case in cases {
+        let run = |id, port, start_unix_millis| Endpoint {
+            address: SocketAddr::from(([127, 0, 0, 1], port)),
+            start_unix_millis,
+            ..endpoint(id)
+        };
+        let mut catalog = Catalog::default();
+        catalog.put(
+            Instant::now(),
+            run(case.id, case.port, case.start_unix_millis),
+        );
+        let has_successor = catalog.has_successor(&run("a", 80, Some(1)));
+        assert_eq!(has_successor, case.is_successor, "{}", case.name);
+    }
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,7 @@
 use crate::placement::{Choice, Request as EndpointRequest, ServiceTime};
 use crate::platform::header;
 use crate::policy::{Execution, Route};
-use crate::quarantine::EndpointRun;
+use crate::quarantine::Keys;
 
 /// Timeout of a request if neither the caller nor the route states one
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -38,7 +38,7 @@
     request: &'a Request,
     route: Rc<Route>,
     service: ServiceId,
-    quarantine_keys: quarantine::Keys,
+    quarantine_keys: Keys,
     affinity_key: Option<u64>,
     home_region: RegionId,
     region: Option<RegionId>,
@@ -116,8 +116,8 @@
     };
     let service = route.next_service().cloned();
     let service = service.ok_or_else(|| Refusal::new(404, "route without a service"))?;
-    let quarantine_keys = quarantine::Keys::new(request, upload.prefix());
-    if let Some(quarantined_for) = quarantine_keys.retry_after(gateway, arrived) {
+    let quarantine_keys = quarantine::keys(request, upload.prefix());
+    if let Some(quarantined_for) = quarantine::retry_after(gateway, arrived, &quarantine_keys) {
         return Err(Refusal::quarantined(
             quarantine_keys.exact(),
             quarantined_for,
@@ -227,7 +227,9 @@
         let gateway = self.gateway;
         let catalog = gateway.catalog.borrow();
         let pool = gateway.pool.borrow();
-        let excluded_runs = self.quarantine_keys.excluded_runs(gateway);
+        let excluded_runs = self
+            .quarantine_keys
+            .excluded_runs(&gateway.quarantine.borrow());
         let allowed = &self.route.allowed_regions;
         let mut regions: BTreeMap<&RegionId, Vec<&Endpoint>> = BTreeMap::new();
         for endpoint in catalog.usable(&self.service) {
@@ -275,9 +277,8 @@
         endpoint: Endpoint,
         choice: &Choice,
     ) -> Result<EndpointAnswer, Failure> {
-        let id = endpoint.id.clone();
-        let (run, address) = (endpoint.run(), endpoint.address);
-        self.tried_endpoints.push(id.clone());
+        let target = endpoint.clone();
+        self.tried_endpoints.push(endpoint.id.clone());
         let attempt_timeout = (choice.expected_time
             + self.usual_duration(ServiceTime::cold) * SLOW_ATTEMPT_FACTOR)
             .max(MIN_ATTEMPT_TIMEOUT);
@@ -287,7 +288,7 @@
         };
         let rank = self.affinity_key.map(|_| choice.rank);
         let in_flight = InFlight::new(self.gateway, endpoint, self.route.name.clone(), rank);
-        let running = quarantine::Running::new(self.gateway, self.quarantine_keys, run);
+        let running = quarantine::Running::new(self.gateway, self.quarantine_keys, target.run());
         let can_resend = upload.can_resend();
         let result = {
             let mut attempt = pin!(exchange::run(
@@ -312,11 +313,10 @@
                 self.run_attempts += 1;
                 self.may_have_run = true;
                 match failure {
-                    Failure::Crashed(error) => self.record_crash(&id, run, error),
+                    Failure::Crashed(error) => self.record_crash(&target, error),
                     // Something in front of a crashed endpoint may still accept connections.
                     Failure::Broken(_) | Failure::TimedOut | Failure::Abandoned => {
-                        self.quarantine_keys
-                            .record_silence(self.gateway, run, address);
+                        self.record_silence(&target);
                     }
                     _ => {}
                 }
@@ -325,11 +325,23 @@
         result
     }
 
+    /// Records that an endpoint gave no answer to this request
+    fn record_silence(&self, endpoint: &Endpoint) {
+        // A crash closes no connection to a machine without power; the request may time out long
+        // after the endpoint is back.
+        if self.gateway.catalog.borrow().has_successor(endpoint) {
+            return self.record_crash(endpoint, "another run has its address");
+        }
+        let keys = &self.quarantine_keys;
+        quarantine::record_silence(self.gateway, keys, endpoint.run(), endpoint.address);
+    }
+
     /// Records that an endpoint crashed with this request in flight
-    fn record_crash(&self, endpoint: &EndpointId, run: EndpointRun, error: &str) {
+    fn record_crash(&self, endpoint: &Endpoint, error: &str) {
         let now = Instant::now();
-        let crashes = self.quarantine_keys.record_crash(self.gateway, now, run);
-        let refused_for = self.quarantine_keys.retry_after(self.gateway, now);
+        let run = endpoint.run();
+        let crashes = quarantine::record_crash(self.gateway, now, &self.quarantine_keys, run);
+        let refused_for = quarantine::retry_after(self.gateway, now, &self.quarantine_keys);
         let attempt_id = header::attempt_id(&self.request.headers).unwrap_or("-");
         let fields = [
             ("id", attempt_id.into()),
@@ -337,7 +349,7 @@
                 "key",
                 record::format_key(self.quarantine_keys.exact()).into(),
             ),
-            ("endpoint", endpoint.as_str().into()),
+            ("endpoint", endpoint.id.as_str().into()),
             ("error", error.into()),
             ("crashes", crashes.into()),
             ("refused_ms", refused_for.map(record::millis).into()),
@@ -361,7 +373,7 @@
         let status = answer.head.status;
         // An endpoint may reject a request without running it.
         if status < 400 {
-            self.quarantine_keys.record_success(self.gateway);
+            quarantine::record_success(self.gateway, &self.quarantine_keys);
         }
         if status >= 500 && self.is_idempotent() && answer.remaining.is_none() {
             let failure = Failure::Broken(format!("status {status}"));
@@ -396,7 +408,9 @@
         if now >= self.deadline {
             return false;
         }
-        if let Some(quarantined_for) = self.quarantine_keys.retry_after(self.gateway, now) {
+        if let Some(quarantined_for) =
+            quarantine::retry_after(self.gateway, now, &self.quarantine_keys)
+        {
             log::debug!("quarantined for {quarantined_for:?}");
             return false;
         }
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -15,7 +15,7 @@
 use crate::message::Request;
 use crate::platform::store::{Error, Event, Kind, Object, Session};
 use crate::platform::{header, record};
-use crate::quarantine::{self, EndpointRun, Key, Record, Source};
+use crate::quarantine::{EndpointRun, Key, Keys, Record, Source};
 
 /// Interval between two writes of a host to the store
 const SAVE_INTERVAL: Duration = Duration::from_millis(100);
@@ -39,90 +39,41 @@
 /// clocks differ
 const MAX_STORED_AGE: Duration = Duration::from_secs(25 * 3600);
 
-/// Keys under which the crashes of a request count
-///
-/// Repeats have the same path and body, but a query may change from one to the next. So a request
-/// with a query has a key with it and one without; an answer to any query of the path clears the
-/// latter.
-#[derive(Clone, Copy, Debug)]
-pub struct Keys {
-    exact: Key,
-    path: Key,
+/// Computes the keys of a request; `body` is its body or the first part of it
+pub fn keys(request: &Request, body: &[u8]) -> Keys {
+    let caller = header::caller_id(&request.headers);
+    Keys::new(caller, &request.method, &request.target, body)
 }
 
-impl Keys {
-    /// Computes the keys of a request; `body` is its body or the first part of it
-    pub fn new(request: &Request, body: &[u8]) -> Self {
-        let caller = header::caller_id(&request.headers);
-        let key = |target| quarantine::key(caller, &request.method, target, body);
-        Self {
-            exact: key(&request.target),
-            path: key(request.path()),
-        }
-    }
-
-    /// Returns the key of exactly this request
-    pub fn exact(&self) -> Key {
-        self.exact
-    }
-
-    fn iter(&self) -> impl Iterator<Item = Key> {
-        let path = Some(self.path).filter(|path| *path != self.exact);
-        std::iter::once(self.exact).chain(path)
-    }
+/// Returns the time until a request is accepted again, if it is refused now
+pub fn retry_after(gateway: &Gateway, now: Instant, keys: &Keys) -> Option<Duration> {
+    keys.retry_after(&gateway.quarantine.borrow(), now)
+}
 
-    /// Returns the time until the request is accepted again, if it is refused now
-    pub fn retry_after(&self, gateway: &Gateway, now: Instant) -> Option<Duration> {
-        let quarantine = gateway.quarantine.borrow();
-        self.iter()
-            .filter_map(|key| quarantine.retry_after(now, key))
-            .max()
-    }
+/// Records that this host saw an endpoint crash with a request in flight; returns the number of
+/// crashes that count
+pub fn record_crash(gateway: &Gateway, now: Instant, keys: &Keys, run: EndpointRun) -> usize {
+    let crashes = keys.record_crash(&mut gateway.quarantine.borrow_mut(), now, run);
+    gateway.metrics.count_crash();
+    gateway.send_news();
+    crashes
+}
 
-    /// Returns the endpoint runs that the request must not use
-    pub fn excluded_runs(&self, gateway: &Gateway) -> BTreeSet<EndpointRun> {
-        let quarantine = gateway.quarantine.borrow();
-        self.iter()
-            .flat_map(|key| quarantine.excluded_runs(key))
-            .collect()
-    }
+/// Records that an endpoint gave no answer to a request
+pub fn record_silence(gateway: &Gateway, keys: &Keys, run: EndpointRun, address: SocketAddr) {
+    let mut quarantine = gateway.quarantine.borrow_mut();
+    quarantine.record_silence(Instant::now(), *keys, run, address);
+}
 
-    /// Records that this host saw an endpoint crash with the request in flight; returns the number
-    /// of crashes that count
-    pub fn record_crash(&self, gateway: &Gateway, now: Instant, run: EndpointRun) -> usize {
-        let mut quarantine = gateway.quarantine.borrow_mut();
-        let crashes = self
-            .iter()
-            .map(|key| quarantine.record_crash(now, key, run))
-            .max();
-        drop(quarantine);
-        gateway.metrics.count_crash();
+/// Records a complete answer to a request
+pub fn record_success(gateway: &Gateway, keys: &Keys) {
+    let mut quarantine = gateway.quarantine.borrow_mut();
+    let cleared = keys.record_success(&mut quarantine, Instant::now());
+    drop(quarantine);
+    for key in cleared {
         gateway.send_news();
-        crashes.unwrap_or(0)
-    }
-
-    /// Records that an endpoint gave no answer to the request
-    pub fn record_silence(&self, gateway: &Gateway, run: EndpointRun, address: SocketAddr) {
-        let now = Instant::now();
-        let mut quarantine = gateway.quarantine.borrow_mut();
-        self.iter()
-            .for_each(|key| quarantine.record_silence(now, key, run, address));
-    }
-
-    /// Records a complete answer to the request
-    pub fn record_success(&self, gateway: &Gateway) {
-        let now = Instant::now();
-        let mut quarantine = gateway.quarantine.borrow_mut();
-        let cleared = self
-            .iter()
-            .filter(|key| quarantine.record_success(now, *key));
-        let cleared: Vec<Key> = cleared.collect();
-        drop(quarantine);
-        for key in cleared {
-            gateway.send_news();
-            let fields = [("key", log_record::format_key(key).into())];
-            gateway.recorder.event("cleared", &fields);
-        }
+        let fields = [("key", log_record::format_key(key).into())];
+        gateway.recorder.event("cleared", &fields);
     }
 }
 
@@ -136,10 +87,7 @@
 impl<'a> Running<'a> {
     /// Records that a request starts on an endpoint
     pub fn new(gateway: &'a Gateway, keys: Keys, run: EndpointRun) -> Self {
-        let mut quarantine = gateway.quarantine.borrow_mut();
-        keys.iter()
-            .for_each(|key| quarantine.record_start(key, run));
-        drop(quarantine);
+        keys.record_start(&mut gateway.quarantine.borrow_mut(), run);
         Self { gateway, keys, run }
     }
 }
@@ -147,8 +95,7 @@
 impl Drop for Running<'_> {
     fn drop(&mut self) {
         let mut quarantine = self.gateway.quarantine.borrow_mut();
-        let keys = self.keys.iter();
-        keys.for_each(|key| quarantine.record_end(key, self.run));
+        self.keys.record_end(&mut quarantine, self.run);
     }
 }
 
@@ -160,13 +107,14 @@
         return;
     };
     let mut quarantine = gateway.quarantine.borrow_mut();
-    let keys = quarantine.record_endpoint_start(Instant::now(), endpoint.run(), endpoint.address);
+    let crashed =
+        quarantine.record_endpoint_start(Instant::now(), endpoint.run(), endpoint.address);
     drop(quarantine);
-    for key in keys {
+    for keys in crashed {
         gateway.metrics.count_crash();
         gateway.send_news();
         let fields = [
-            ("key", log_record::format_key(key).into()),
+            ("key", log_record::format_key(keys.exact()).into()),
             ("started", id.as_str().into()),
         ];
         gateway.recorder.event("suspect", &fields);
@@ -181,7 +129,7 @@
     if !quarantine.merge(now, key, record, source, delay) {
         return;
     }
-    let refused_for = quarantine.retry_after(now, key);
+    let refused_for = quarantine.retry_after(now, key, 1.0);
     drop(quarantine);
     let fields = [
         ("key", log_record::format_key(key).into()),
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -16,11 +16,13 @@
 
 use crate::id::EndpointId;
 
+mod keys;
 mod register;
 
 #[cfg(test)]
 mod tests;
 
+pub use keys::Keys;
 pub use register::{EndpointRun, Record, Register, Source};
 
 /// Stable hash of what identifies a request
--- a/src/quarantine/register.rs
+++ b/src/quarantine/register.rs
@@ -16,7 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CRASH_THRESHOLD, Key, MAX_KEYS};
+use super::{CRASH_THRESHOLD, Key, Keys, MAX_KEYS};
 
 #[cfg(test)]
 mod tests;
@@ -178,7 +178,7 @@
 #[derive(Debug)]
 struct Doubt {
     ended_at: Instant,
-    key: Key,
+    keys: Keys,
     run: EndpointRun,
     address: SocketAddr,
 }
@@ -208,16 +208,20 @@
             ..Record::default()
         };
         self.merge(now, key, &record, Source::Own, Duration::ZERO);
-        self.entries
-            .get(&key)
-            .map_or(0, |entry| entry.crashed.len())
+        self.crash_count(key)
+    }
+
+    /// Returns the number of crashes under a key that count
+    pub fn crash_count(&self, key: Key) -> usize {
+        let entry = self.entries.get(&key);
+        entry.map_or(0, |entry| entry.crashed.len())
     }
 
     /// Records that an endpoint gave no answer to a request
     pub fn record_silence(
         &mut self,
         now: Instant,
-        key: Key,
+        keys: Keys,
         run: EndpointRun,
         address: SocketAddr,
     ) {
@@ -226,7 +230,7 @@
         }
         self.doubts.push_back(Doubt {
             ended_at: now,
-            key,
+            keys,
             run,
             address,
         });
@@ -239,7 +243,7 @@
         now: Instant,
         run: EndpointRun,
         address: SocketAddr,
-    ) -> Vec<Key> {
+    ) -> Vec<Keys> {
         let is_recent = |doubt: &Doubt| now < doubt.ended_at + DOUBT_TTL;
         let is_resolved = |doubt: &Doubt| doubt.address == address && doubt.run != run;
         let doubts = std::mem::take(&mut self.doubts);
@@ -248,8 +252,8 @@
         self.doubts = open;
         let crashed = resolved
             .into_iter()
-            .filter(|doubt| self.record_crash(now, doubt.key, doubt.run) > 0);
-        crashed.map(|doubt| doubt.key).collect()
+            .filter(|doubt| doubt.keys.record_crash(self, now, doubt.run) > 0);
+        crashed.map(|doubt| doubt.keys).collect()
     }
 
     /// Merges a record; returns whether it tells of a crash or success that was not known
@@ -347,13 +351,15 @@
         }
     }
 
-    /// Returns the time until the request is accepted again, if it is refused now
-    pub fn retry_after(&self, now: Instant, key: Key) -> Option<Duration> {
+    /// Returns the time until the request is accepted again, if it is refused now; `ratio` is the part
+    /// of the refusal that applies
+    pub fn retry_after(&self, now: Instant, key: Key, ratio: f64) -> Option<Duration> {
         let entry = self.entries.get(&key)?;
         if entry.crashed.len() < CRASH_THRESHOLD {
             return None;
         }
-        let remaining = entry.refused_for.saturating_sub(entry.age(now));
+        let refused_for = entry.refused_for.mul_f64(ratio);
+        let remaining = refused_for.saturating_sub(entry.age(now));
         if !remaining.is_zero() {
             return Some(remaining);
         }
@@ -361,15 +367,20 @@
         (!entry.running_on.is_empty()).then_some(TRIAL_RETRY_DELAY)
     }
 
-    /// Returns the endpoint runs that a suspect must not use: those that it crashed, and those on
-    /// which another suspect is running, since a crash would not tell the two apart
-    pub fn excluded_runs(&self, key: Key) -> BTreeSet<EndpointRun> {
-        let Some(entry) = self.entries.get(&key) else {
+    /// Returns the endpoint runs that a suspect with these keys must not use: those that it crashed,
+    /// and those on which another suspect is running, since a crash would not tell the two apart
+    pub fn excluded_runs(&self, keys: &[Key]) -> BTreeSet<EndpointRun> {
+        let suspects = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| !entry.crashed.is_empty());
+        let (own, others): (Vec<_>, Vec<_>) = suspects.partition(|(key, _)| keys.contains(key));
+        if own.is_empty() {
             return BTreeSet::new();
-        };
-        let others = self.entries.iter().filter(|(other, _)| **other != key);
-        let occupied = others.flat_map(|(_, other)| &other.running_on);
-        occupied.chain(&entry.crashed).copied().collect()
+        }
+        let crashed = own.iter().flat_map(|(_, entry)| &entry.crashed);
+        let occupied = others.iter().flat_map(|(_, entry)| &entry.running_on);
+        crashed.chain(occupied).copied().collect()
     }
 
     /// Records that the request starts on an endpoint
--- a/src/quarantine/register/tests.rs
+++ b/src/quarantine/register/tests.rs
@@ -66,7 +66,7 @@
         }
         let is_refused = |seconds| {
             let later = now + Duration::from_secs(seconds);
-            register.retry_after(later, KEY).is_some()
+            register.retry_after(later, KEY, 1.0).is_some()
         };
         assert!(case.refused_at.is_none_or(is_refused), "{}", case.name);
         assert!(!is_refused(case.accepted_at), "{}", case.name);
@@ -128,7 +128,7 @@
             let crashes = register.entries.get(&KEY);
             let crashes = crashes.map_or(0, |entry| entry.crashed.len());
             assert_eq!(crashes, case.crashes, "{}", case.name);
-            let is_refused = register.retry_after(now, KEY).is_some();
+            let is_refused = register.retry_after(now, KEY, 1.0).is_some();
             assert_eq!(is_refused, case.is_refused, "{}", case.name);
         }
     }
@@ -143,7 +143,7 @@
     register.record_crash(now, KEY, 1);
     register.record_crash(now, KEY, 2);
     assert!(register.record_success(now, KEY));
-    assert_eq!(register.retry_after(now, KEY), None);
+    assert_eq!(register.retry_after(now, KEY, 1.0), None);
     let stale = record(&[1, 2], Duration::ZERO);
     assert!(!register.merge(now, KEY, &stale, Source::Region, Duration::ZERO));
     assert!(register.is_cleared(KEY, &stale.crashed));
@@ -151,7 +151,7 @@
     let mut other = Register::new();
     other.merge(now, KEY, &stale, Source::Store, Duration::ZERO);
     assert!(other.merge(now, KEY, &news, Source::Region, Duration::ZERO));
-    assert_eq!(other.retry_after(now, KEY), None);
+    assert_eq!(other.retry_after(now, KEY, 1.0), None);
     assert_eq!(register.record_crash(now, KEY, 3), 0);
     assert_eq!(register.record_crash(later, KEY, 4), 1);
 }
@@ -178,7 +178,7 @@
     assert!(register.merge(now, 1, &news, Source::Store, Duration::ZERO));
     register.forget(2);
     assert!(!register.merge(now, 2, &news, Source::Region, Duration::ZERO));
-    assert_eq!(register.retry_after(now, 2), None);
+    assert_eq!(register.retry_after(now, 2, 1.0), None);
 }
 
 #[test]
@@ -187,7 +187,7 @@
     let age = Duration::from_secs(3000);
     let mut register = Register::new();
     register.merge(now, KEY, &record(&[1, 2, 3], age), Source::Store, age);
-    let remaining = register.retry_after(now, KEY).expect("is refused");
+    let remaining = register.retry_after(now, KEY, 1.0).expect("is refused");
     assert!(
         remaining <= Duration::from_secs(5760) - age,
         "{remaining:?}"
@@ -206,7 +206,7 @@
         register.record_crash(now, key, 1);
     }
     assert!(register.entries.len() <= MAX_KEYS);
-    assert!(register.retry_after(now, KEY).is_some());
+    assert!(register.retry_after(now, KEY, 1.0).is_some());
 }
 
 /// Guards against crashes that are not counted, as the endpoint falls silent instead of closing its
@@ -252,11 +252,13 @@
         let now = Instant::now();
         let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
         let mut register = Register::new();
-        register.record_silence(now, KEY, 1, address(80));
+        let keys = Keys::new("7", "POST", "/renew", b"");
+        register.record_silence(now, keys, 1, address(80));
         let later = now + case.after;
         let crashed = register.record_endpoint_start(later, case.started, address(case.port));
         assert_eq!(!crashed.is_empty(), case.is_crash, "{}", case.name);
-        assert_eq!(register.count(1) > 0, case.is_crash, "{}", case.name);
+        let crashes = register.crash_count(keys.exact());
+        assert_eq!(crashes > 0, case.is_crash, "{}", case.name);
     }
 }
 
@@ -268,9 +270,9 @@
         register.record_crash(now, key, 10 + key);
         register.record_start(key, 20 + key);
     }
-    assert_eq!(register.excluded_runs(1), BTreeSet::from([11, 22]));
-    assert_eq!(register.excluded_runs(2), BTreeSet::from([12, 21]));
-    assert_eq!(register.excluded_runs(3), BTreeSet::new());
+    assert_eq!(register.excluded_runs(&[1]), BTreeSet::from([11, 22]));
+    assert_eq!(register.excluded_runs(&[2]), BTreeSet::from([12, 21]));
+    assert_eq!(register.excluded_runs(&[3]), BTreeSet::new());
     register.record_end(2, 22);
-    assert_eq!(register.excluded_runs(1), BTreeSet::from([11]));
+    assert_eq!(register.excluded_runs(&[1]), BTreeSet::from([11]));
 }
--- a/src/quarantine/register/tests/simulation.rs
+++ b/src/quarantine/register/tests/simulation.rs
@@ -234,7 +234,7 @@
             let index = self.rng.usize(..self.hosts.len());
             let beside = self.rng.u64(ORDINARY_KEYS);
             let host = &mut self.hosts[index];
-            if host.register.retry_after(now, key).is_some() {
+            if host.register.retry_after(now, key, 1.0).is_some() {
                 continue;
             }
             let crashes = self.cost.crashes.entry(key).or_default();
@@ -269,7 +269,7 @@
         for key in ORDINARY_KEYS {
             let index = fleet.rng.usize(..fleet.hosts.len());
             let register = &mut fleet.hosts[index].register;
-            if register.retry_after(now, key).is_none() {
+            if register.retry_after(now, key, 1.0).is_none() {
                 refused_since.remove(&key);
                 register.record_success(now, key);
                 continue;
@@ -379,7 +379,7 @@
     let rounds = 1_000_000;
     let started = Instant::now();
     for key in 0..rounds {
-        std::hint::black_box(register.retry_after(now, std::hint::black_box(key << 20)));
+        std::hint::black_box(register.retry_after(now, std::hint::black_box(key << 20), 1.0));
         register.record_success(now, Key::MAX - key);
     }
     let request = started.elapsed() / rounds as u32;
