--- a/src/platform/standin/store.rs
+++ b/src/platform/standin/store.rs
@@ -46,10 +46,23 @@
     pub lost_response_ratio: f64,
 }
 
+/// Objects by kind and name
+type Objects = BTreeMap<String, BTreeMap<String, Value>>;
+
+/// Copy of a store's content at one moment
+#[derive(Clone, Debug)]
+pub struct Copy {
+    revision: u64,
+    objects: Objects,
+}
+
 #[derive(Debug, Default)]
 struct State {
+    /// Number of times that the content was replaced by an older copy, from 1; 0 if the store does
+    /// not report it
+    era: u64,
     revision: u64,
-    objects: BTreeMap<String, BTreeMap<String, Value>>,
+    objects: Objects,
     /// Retained changes as kind, revision and event
     history: VecDeque<(String, u64, Value)>,
     /// Watches from an older revision fail
@@ -70,6 +83,32 @@
         store
     }
 
+    /// Creates an empty store that reports its era, starting with 1
+    pub fn with_era() -> Self {
+        let store = Self::new();
+        lock(&store.0).era = 1;
+        store
+    }
+
+    /// Returns a copy of the content
+    pub fn copy(&self) -> Copy {
+        let state = lock(&self.0);
+        Copy {
+            revision: state.revision,
+            objects: state.objects.clone(),
+        }
+    }
+
+    /// Replaces the content by an older copy and begins a new era; all else is lost
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = lock(&self.0);
+        state.era += 1;
+        state.revision = copy.revision;
+        state.objects = copy.objects.clone();
+        state.history.clear();
+        state.compacted_revision = copy.revision;
+    }
+
     /// Listens on `address` and serves until the process ends
     pub async fn start(&self, address: SocketAddr) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind(address).await?;
@@ -151,8 +190,12 @@
             } else {
                 body.to_string()
             };
+            let era = match lock(&self.0).era {
+                0 => String::new(),
+                era => format!("Store-Era: {era}\r\n"),
+            };
             let text = format!(
-                "HTTP/1.1 {status} -\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} -\r\n{era}Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
             let deadline = Instant::now() + Duration::from_secs(5);
@@ -196,7 +239,7 @@
         loop {
             {
                 let state = lock(&self.0);
-                if revision < state.compacted_revision {
+                if revision < state.compacted_revision || revision > state.revision {
                     return (410, Value::Null);
                 }
                 let changes = state.history.iter();
--- a/src/quarantine/register/tests/simulation.rs
+++ b/src/quarantine/register/tests/simulation.rs
@@ -234,7 +234,8 @@
             let index = self.rng.usize(..self.hosts.len());
             let beside = self.rng.u64(ORDINARY_KEYS);
             let host = &mut self.hosts[index];
-            if host.register.retry_after(now, key, 1.0).is_some() {
+            let keys = request_keys(key);
+            if keys.retry_after(&host.register, now).is_some() {
                 continue;
             }
             let crashes = self.cost.crashes.entry(key).or_default();
@@ -247,14 +248,19 @@
                 *self.cost.late.entry(key).or_default() += 1;
             }
             let run = key << 32 | *crashes as u64;
-            host.register.record_crash(now, key, run);
-            host.register.record_crash(now, beside, run);
+            keys.record_crash(&mut host.register, now, run);
+            request_keys(beside).record_crash(&mut host.register, now, run);
             hosts.push(index);
         }
         hosts
     }
 }
 
+/// Returns the keys of the request with a number, each with a caller and a path of its own
+fn request_keys(number: Key) -> Keys {
+    Keys::new(&number.to_string(), "GET", &format!("/{number}"), b"")
+}
+
 fn play(plan: Plan, seed: u64) -> Cost {
     let start = Instant::now();
     let mut fleet = Fleet::new(plan, seed, start);
@@ -269,9 +275,10 @@
         for key in ORDINARY_KEYS {
             let index = fleet.rng.usize(..fleet.hosts.len());
             let register = &mut fleet.hosts[index].register;
-            if register.retry_after(now, key, 1.0).is_none() {
+            let keys = request_keys(key);
+            if keys.retry_after(register, now).is_none() {
                 refused_since.remove(&key);
-                register.record_success(now, key);
+                keys.record_success(register, now);
                 continue;
             }
             let since = *refused_since.entry(key).or_insert(now);
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -116,7 +116,7 @@
         capacity: (usize, Duration),
     ) -> Self {
         let subnet = reserve_subnet().await;
-        let store = Store::new();
+        let store = Store::with_era();
         let store_address = store
             .start(address(subnet, 1, 0))
             .await
