--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 use crate::id::{EndpointId, RegionId, ServiceId, ZoneId};
 use crate::quarantine::EndpointRun;
@@ -31,8 +32,11 @@
 /// Ratio of all endpoints whose removal within the grace period indicates an outage of the store
 const MASS_REMOVAL_RATIO: f64 = 0.25;
 
+/// How long removed entries are remembered; longer than a copy of the store is old
+const REMOVED_TTL: Duration = Duration::from_secs(60);
+
 /// Upstream endpoint of a service
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Endpoint {
     /// Id, unique among the endpoints that exist at a time
     pub id: EndpointId,
@@ -50,6 +54,8 @@
     pub draining: bool,
     /// Unix time of the start in milliseconds, which reveals a restart under the same id
     pub start_unix_millis: Option<u64>,
+    /// Number of entries that this run wrote; a lower one is older
+    pub sequence: u64,
     /// Remaining warm-up time when the entry was read
     pub warmup_remaining: Duration,
 }
@@ -59,6 +65,15 @@
     pub fn run(&self) -> EndpointRun {
         stable_hash(&(&self.id, self.start_unix_millis))
     }
+
+    fn is_same_entry(&self, other: &Self) -> bool {
+        let sequence = self.sequence;
+        *self
+            == Self {
+                sequence,
+                ..other.clone()
+            }
+    }
 }
 
 /// Effect of an entry on the catalog
@@ -88,6 +103,10 @@
     outage_end: Option<Instant>,
     /// Times of the recent removals
     removal_times: Vec<Instant>,
+    /// Endpoints whose entries were removed lately, and when
+    removed: BTreeMap<EndpointId, (Endpoint, Instant)>,
+    /// Until when lists of the store may have entries from before its restore
+    restore_end: Option<Instant>,
 }
 
 impl Catalog {
@@ -104,8 +123,79 @@
         self.outage_end = Some(now);
     }
 
+    /// Prepares for lists of a store that came back from an older copy
+    ///
+    /// For `period`, its entries may be older than what is known. Endpoints whose entries are missing
+    /// are used as after an outage.
+    pub fn begin_restore(&mut self, now: Instant, period: Duration) {
+        self.restore_end = Some(now + period);
+        self.outage_end = Some(now);
+        self.grace_period_end = Some(now + LAPSE_GRACE_PERIOD);
+    }
+
+    /// Ends the period after a restore; returns whether it ended now, so that the entries that were
+    /// taken for outdated are to be applied
+    pub fn end_restore(&mut self, now: Instant) -> bool {
+        let has_ended = self.restore_end.is_some_and(|end| end <= now);
+        if has_ended {
+            self.restore_end = None;
+            self.removed.clear();
+        }
+        has_ended
+    }
+
+    /// Returns the endpoints that are draining or gone and that a restored store may list as ready,
+    /// and the time for which it may do so
+    pub fn withdrawn(&self, now: Instant) -> (Vec<Endpoint>, Duration) {
+        let Some(remaining) = self
+            .restore_end
+            .map(|end| end.saturating_duration_since(now))
+        else {
+            return (Vec::new(), Duration::ZERO);
+        };
+        let draining = self.endpoints.values().filter(|endpoint| endpoint.draining);
+        let removed = self.removed.values().map(|(endpoint, _)| endpoint);
+        (draining.chain(removed).cloned().collect(), remaining)
+    }
+
+    /// Adopts what another host tells of a restored store, after its list was applied
+    pub fn adopt_withdrawn(&mut self, now: Instant, endpoints: Vec<Endpoint>, remaining: Duration) {
+        if remaining.is_zero() {
+            return;
+        }
+        self.restore_end = Some(now + remaining);
+        for endpoint in endpoints {
+            let id = endpoint.id.clone();
+            let is_outdated = self.endpoints.get(&id).is_some_and(|listed| {
+                listed.start_unix_millis == endpoint.start_unix_millis
+                    && listed.sequence <= endpoint.sequence
+            });
+            if is_outdated {
+                self.remove_endpoint(now, &id);
+            }
+            self.removed.insert(id, (endpoint, now));
+        }
+    }
+
+    /// Returns whether an entry of a restored store is older than what is known of the same run: it
+    /// would take back that the endpoint is draining or gone
+    fn is_outdated(&self, endpoint: &Endpoint) -> bool {
+        let is_newer = |known: &Endpoint| {
+            known.start_unix_millis == endpoint.start_unix_millis
+                && known.sequence >= endpoint.sequence
+        };
+        match self.endpoints.get(&endpoint.id) {
+            Some(known) => known.draining && !endpoint.draining && is_newer(known),
+            None => {
+                let removed = self.removed.get(&endpoint.id);
+                removed.is_some_and(|(removed, _)| is_newer(removed))
+            }
+        }
+    }
+
     /// Replaces all entries with the result of a full read; returns the endpoints that started
     pub fn replace(&mut self, now: Instant, endpoints: Vec<Endpoint>) -> Vec<EndpointId> {
+        let is_restoring = self.restore_end.is_some();
         let present: BTreeSet<EndpointId> = endpoints
             .iter()
             .map(|endpoint| endpoint.id.clone())
@@ -113,6 +203,9 @@
         let started = endpoints
             .into_iter()
             .filter_map(|endpoint| {
+                if is_restoring && self.is_outdated(&endpoint) {
+                    return None;
+                }
                 let id = endpoint.id.clone();
                 (self.put(now, endpoint) == Change::Started).then_some(id)
             })
@@ -139,7 +232,10 @@
         }
         let known = self.endpoints.get(&id);
         let change = match known {
-            Some(known) if *known == endpoint => return Change::Unchanged,
+            Some(known) if known.is_same_entry(&endpoint) => {
+                self.endpoints.insert(id, endpoint);
+                return Change::Unchanged;
+            }
             Some(known)
                 if known.start_unix_millis == endpoint.start_unix_millis
                     && known.address == endpoint.address =>
@@ -178,7 +274,7 @@
             Some(until) if now < until => {
                 self.lapsed_until.entry(id.clone()).or_insert(until);
             }
-            _ => self.remove_endpoint(id),
+            _ => self.remove_endpoint(now, id),
         }
     }
 
@@ -199,7 +295,7 @@
         let expired = self.lapsed_until.iter().filter(|(_, until)| **until <= now);
         let expired: Vec<EndpointId> = expired.map(|(id, _)| id.clone()).collect();
         for id in &expired {
-            self.remove_endpoint(id);
+            self.remove_endpoint(now, id);
         }
         self.cold_until.retain(|_, until| now < *until);
         expired
@@ -277,13 +373,17 @@
         self.endpoints.is_empty()
     }
 
-    fn remove_endpoint(&mut self, id: &EndpointId) {
+    fn remove_endpoint(&mut self, now: Instant, id: &EndpointId) {
         self.lapsed_until.remove(id);
         self.cold_until.remove(id);
-        if let Some(removed) = self.endpoints.remove(id)
-            && let Some(ids) = self.services.get_mut(&removed.service)
-        {
+        let Some(removed) = self.endpoints.remove(id) else {
+            return;
+        };
+        if let Some(ids) = self.services.get_mut(&removed.service) {
             ids.remove(id);
         }
+        self.removed
+            .retain(|_, (_, removed_at)| now < *removed_at + REMOVED_TTL);
+        self.removed.insert(id.clone(), (removed, now));
     }
 }
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -14,6 +14,7 @@
         slots: 3,
         draining: false,
         start_unix_millis: Some(1),
+        sequence: 1,
         warmup_remaining: Duration::ZERO,
     }
 }
@@ -270,3 +271,98 @@
         assert_eq!(has_successor, case.is_successor, "{}", case.name);
     }
 }
+
+#[test]
+fn older_entries_of_a_restored_store_do_not_revive_endpoints() {
+    struct Case {
+        name: &'static str,
+        /// State of the endpoint before the restore; `None` if it is gone
+        draining_before: Option<bool>,
+        /// Run and sequence number of the entry that the restored store lists as ready
+        listed: (u64, u64),
+        is_usable: bool,
+    }
+    let cases = [
+        Case {
+            name: "ready all the while",
+            draining_before: Some(false),
+            listed: (1, 4),
+            is_usable: true,
+        },
+        Case {
+            name: "draining, older entry",
+            draining_before: Some(true),
+            listed: (1, 4),
+            is_usable: false,
+        },
+        Case {
+            name: "draining, next run",
+            draining_before: Some(true),
+            listed: (2, 1),
+            is_usable: true,
+        },
+        Case {
+            name: "gone, older entry",
+            draining_before: None,
+            listed: (1, 4),
+            is_usable: false,
+        },
+        Case {
+            name: "taken for gone, newer entry",
+            draining_before: None,
+            listed: (1, 9),
+            is_usable: true,
+        },
+        Case {
+            name: "gone, next run",
+            draining_before: None,
+            listed: (2, 1),
+            is_usable: true,
+        },
+    ];
+    const PERIOD: Duration = Duration::from_secs(6);
+    for case in cases {
+        let now = Instant::now();
+        let entry = |run, sequence, draining| Endpoint {
+            start_unix_millis: Some(run),
+            sequence,
+            draining,
+            ..endpoint("a")
+        };
+        let mut catalog = Catalog::with_drain_time(DRAIN_TIME);
+        catalog.put(now, entry(1, 5, case.draining_before == Some(true)));
+        if case.draining_before.is_none() {
+            catalog.remove(now, &"a".into());
+        }
+        catalog.begin_restore(now, PERIOD);
+        let listed = entry(case.listed.0, case.listed.1, false);
+        catalog.replace(now, vec![listed.clone()]);
+        let is_usable = usable_ids(&catalog) == ["a"];
+        assert_eq!(is_usable, case.is_usable, "{}", case.name);
+        let mut starting = Catalog::with_drain_time(DRAIN_TIME);
+        starting.replace(now, vec![listed.clone()]);
+        let (withdrawn, remaining) = catalog.withdrawn(now);
+        starting.adopt_withdrawn(now, withdrawn, remaining);
+        let is_usable = usable_ids(&starting) == ["a"];
+        assert_eq!(is_usable, case.is_usable, "{}, starting host", case.name);
+        assert!(!catalog.end_restore(now + PERIOD / 2));
+        assert!(catalog.end_restore(now + PERIOD));
+        catalog.replace(now + PERIOD, vec![listed]);
+        assert_eq!(usable_ids(&catalog), ["a"], "{}: it lives", case.name);
+    }
+}
+
+#[test]
+fn endpoints_that_a_restored_store_lacks_are_used_as_after_an_outage() {
+    let now = Instant::now();
+    let mut catalog = Catalog::with_drain_time(DRAIN_TIME);
+    for id in ["a", "b", "c", "d", "e", "f"] {
+        catalog.put(now, endpoint(id));
+    }
+    catalog.begin_restore(now, Duration::from_secs(6));
+    let others = ["b", "c", "d", "e", "f"].map(endpoint).to_vec();
+    catalog.replace(now, others);
+    assert!(usable_ids(&catalog).contains(&"a"));
+    let expired = catalog.expire(now + LAPSE_GRACE_PERIOD);
+    assert_eq!(expired, ["a"]);
+}
--- a/src/fleet/lag.rs
+++ b/src/fleet/lag.rs
@@ -15,9 +15,14 @@
 
 /// Position that a host's copy of one kind of objects has reached; a greater one is newer
 ///
+/// Revisions are given out again in a new era of the store, so the era comes first.
+///
 /// If two copies have the same newest write, the one with fewer objects includes one more removal.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Watermark {
+    /// Era of the store; datagrams carry it apart from the other fields
+    #[serde(skip)]
+    pub era: u64,
     /// Newest revision of any written object
     pub written: u64,
     /// `u32::MAX` less the number of objects, so that a removal raises the watermark
@@ -25,11 +30,20 @@
 }
 
 impl Watermark {
-    /// Creates the watermark of a copy with this many objects
+    /// Creates the watermark of a copy with this many objects, in the store's first era
     pub fn new(written: u64, objects: usize) -> Self {
         let objects = u32::try_from(objects).unwrap_or(u32::MAX);
         let absent = u32::MAX - objects;
-        Self { written, absent }
+        Self {
+            era: 0,
+            written,
+            absent,
+        }
+    }
+
+    /// Returns this watermark in an era of the store
+    pub fn with_era(self, era: u64) -> Self {
+        Self { era, ..self }
     }
 }
 
@@ -52,7 +66,16 @@
     }
 
     /// Records another host's watermark; returns whether this host should do a full read of the kind
-    pub fn observe(&mut self, now: Instant, kind: K, local: Watermark, remote: Watermark) -> bool {
+    ///
+    /// `tolerance` is how long other hosts may be ahead.
+    pub fn observe(
+        &mut self,
+        now: Instant,
+        kind: K,
+        local: Watermark,
+        remote: Watermark,
+        tolerance: Duration,
+    ) -> bool {
         if let Some((target, _)) = self.pending.get(&kind)
             && local >= *target
         {
@@ -63,7 +86,7 @@
             return false;
         }
         let (target, since) = *self.pending.entry(kind).or_insert((remote, now));
-        if now.saturating_duration_since(since) < LAG_TOLERANCE {
+        if now.saturating_duration_since(since) < tolerance {
             return false;
         }
         self.pending.remove(&kind);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,7 +23,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use lag::{LagDetector, Watermark};
+pub use lag::{LAG_TOLERANCE, LagDetector, Watermark};
 
 /// Number of ring successors that each host pings; enough that neighbors rarely fail together
 pub const WATCHED_SUCCESSORS: usize = 4;
@@ -42,6 +42,9 @@
 /// How long a watched host may be silent before it counts as failed: five lost pings
 pub const PING_TIMEOUT: Duration = Duration::from_millis(2600);
 
+/// How long removed hosts are remembered; longer than a copy of the store is old
+const REMOVED_TTL: Duration = Duration::from_secs(60);
+
 /// How long a demand report stays valid
 const DEMAND_REPORT_TTL: Duration = Duration::from_secs(4);
 
@@ -92,8 +95,12 @@
     /// Watched hosts, and when their timeout last restarted
     watched_since: BTreeMap<HostId, Instant>,
     demand_reports: BTreeMap<HostId, (Instant, RegionId, BTreeMap<ServiceId, f32>)>,
+    /// Hosts that were removed lately, to recognize their entries in an older copy of the store
+    removed: BTreeMap<HostId, (Incarnation, Instant)>,
     /// Listed hosts that stay silent; not offered to callers until they report or are listed again
     unresponsive: BTreeSet<HostId>,
+    /// Whether the next list is the first one of a store that came back from an older copy
+    is_restoring: bool,
 }
 
 impl Fleet {
@@ -105,8 +112,27 @@
         }
     }
 
+    /// Prepares for the list of a store that came back from an older copy: hosts that it lists and
+    /// that were removed lately are not offered to callers until they report
+    pub fn begin_restore(&mut self, now: Instant) {
+        self.removed
+            .retain(|_, (_, removed_at)| now < *removed_at + REMOVED_TTL);
+        self.is_restoring = true;
+    }
+
     /// Replaces all members with the result of a full read
     pub fn replace(&mut self, members: Vec<Member>) {
+        let outdated: Vec<HostId> = match std::mem::take(&mut self.is_restoring) {
+            true => {
+                let is_outdated = |member: &&Member| {
+                    let removed = self.removed.get(&member.host);
+                    removed.is_some_and(|(incarnation, _)| *incarnation == member.incarnation)
+                };
+                let outdated = members.iter().filter(is_outdated);
+                outdated.map(|member| member.host.clone()).collect()
+            }
+            false => Vec::new(),
+        };
         self.members = members
             .into_iter()
             .map(|member| (member.host.clone(), member))
@@ -119,6 +145,7 @@
         self.demand_reports
             .retain(|host, _| members.contains_key(host));
         self.unresponsive.retain(|host| members.contains_key(host));
+        self.unresponsive.extend(outdated);
     }
 
     /// Adds or updates one member
@@ -128,7 +155,13 @@
     }
 
     /// Removes a member; returns whether it existed
-    pub fn remove(&mut self, host: &HostId) -> bool {
+    pub fn remove(&mut self, now: Instant, host: &HostId) -> bool {
+        if let Some(member) = self.members.get(host) {
+            let removal = (member.incarnation, now);
+            self.removed.insert(host.clone(), removal);
+            self.removed
+                .retain(|_, (_, removed_at)| now < *removed_at + REMOVED_TTL);
+        }
         self.demand_reports.remove(host);
         self.last_heard.remove(host);
         self.watched_since.remove(host);
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -113,7 +113,7 @@
             fleet.replace(all.collect());
         } else {
             for member in &removed {
-                fleet.remove(&member.host);
+                fleet.remove(Instant::now(), &member.host);
                 fleet.put(member.clone());
             }
         }
@@ -328,6 +328,20 @@
                 Observe(400, new, removed, true),
             ],
         },
+        Case {
+            name: "lower revisions of a newer era are ahead",
+            steps: vec![
+                Observe(0, new, old.with_era(1), false),
+                Observe(400, new, old.with_era(1), true),
+            ],
+        },
+        Case {
+            name: "higher revisions of an older era are not",
+            steps: vec![
+                Observe(0, old.with_era(1), new, false),
+                Observe(400, old.with_era(1), new, false),
+            ],
+        },
         Case {
             name: "the host catches up in time",
             steps: vec![
@@ -343,7 +357,7 @@
         for (index, Observe(at, local, remote, expected)) in case.steps.into_iter().enumerate() {
             let now = start + Duration::from_millis(at);
             assert_eq!(
-                detector.observe(now, 0, local, remote),
+                detector.observe(now, 0, local, remote, LAG_TOLERANCE),
                 expected,
                 "{}, step {index}",
                 case.name
@@ -351,3 +365,58 @@
         }
     }
 }
+
+#[test]
+fn removed_host_that_a_restored_store_lists_is_not_offered_until_it_reports() {
+    struct Case {
+        name: &'static str,
+        is_restoring: bool,
+        incarnation: u64,
+        is_offered: bool,
+    }
+    let cases = [
+        Case {
+            name: "its run that was removed",
+            is_restoring: true,
+            incarnation: 1,
+            is_offered: false,
+        },
+        Case {
+            name: "its next run",
+            is_restoring: true,
+            incarnation: 2,
+            is_offered: true,
+        },
+        Case {
+            name: "an ordinary list",
+            is_restoring: false,
+            incarnation: 1,
+            is_offered: true,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut fleet = Fleet::new("a".into());
+        let gone = Member {
+            incarnation: 1,
+            ..member("b", "r", 2)
+        };
+        fleet.put(gone.clone());
+        fleet.remove(now, &gone.host);
+        if case.is_restoring {
+            fleet.begin_restore(now);
+        }
+        let listed = Member {
+            incarnation: case.incarnation,
+            ..gone
+        };
+        fleet.replace(vec![listed]);
+        let offered = |fleet: &Fleet| {
+            let mut rng = fastrand::Rng::with_seed(1);
+            !fleet.sample_addresses("r", 8, &mut rng).is_empty()
+        };
+        assert_eq!(offered(&fleet), case.is_offered, "{}", case.name);
+        fleet.record_report(now, &report("b"));
+        assert!(offered(&fleet), "{}: it reports", case.name);
+    }
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -27,6 +27,7 @@
     probes: Counter<u64>,
     store_calls: Counter<u64>,
     crashes: Counter<u64>,
+    new_eras: Counter<u64>,
     state_gauge: Gauge<u64>,
 }
 
@@ -60,6 +61,10 @@
                 "pier_gate_endpoint_crashes",
                 "Attempts during which the endpoint ended",
             ),
+            new_eras: counter(
+                "pier_gate_store_eras",
+                "Times that the store came back from an older copy, by kind of object",
+            ),
             state_gauge: meter
                 .u64_gauge("pier_gate_state")
                 .with_description("What this host knows and does now, by item")
@@ -94,6 +99,11 @@
         self.crashes.add(1, &[]);
     }
 
+    /// Counts a new era of the store for a kind of object
+    pub fn count_new_era(&self, kind: Kind) {
+        self.new_eras.add(1, &[KeyValue::new("kind", kind.name())]);
+    }
+
     /// Counts calls to the store
     pub fn count_store_calls(&self, kind: Kind, count: u64) {
         if count > 0 {
@@ -146,6 +156,8 @@
 fn state_items(gateway: &Gateway) -> Vec<(&'static str, u64)> {
     vec![
         ("configuration_version", gateway.configuration_version()),
+        ("store_era", gateway.mirror.borrow().era()),
+        ("held_objects", gateway.holdover.borrow().len() as u64),
         ("endpoints", gateway.catalog.borrow().len() as u64),
         ("hosts", gateway.fleet.borrow().size() as u64),
         (
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -10,7 +10,7 @@
 use smol::channel::{Receiver, Sender, bounded};
 
 use crate::fleet::Watermark;
-use crate::platform::store::{Event, Kind, Object};
+use crate::platform::store::{Era, Event, Kind, Object, Position};
 
 /// Number of changes per kind that are kept for followers; covers minutes of normal traffic
 const MAX_HISTORY_EVENTS: usize = 2048;
@@ -24,6 +24,9 @@
     /// Revision up to which each kind is current, deletions included
     #[serde(rename = "newest")]
     revisions: BTreeMap<Kind, u64>,
+    /// Era of the store in which each kind was read
+    #[serde(default)]
+    eras: BTreeMap<Kind, Era>,
     /// Highest revision of any object written, by kind
     #[serde(skip)]
     written_revisions: BTreeMap<Kind, u64>,
@@ -62,7 +65,13 @@
 
 impl Mirror {
     /// Replaces all objects of a kind by a complete list
-    pub fn replace(&mut self, now: Instant, kind: Kind, objects: Vec<Object>, revision: u64) {
+    pub fn replace(&mut self, now: Instant, kind: Kind, objects: Vec<Object>, position: Position) {
+        let Position { era, revision } = position;
+        if self.eras.insert(kind, era).unwrap_or(0) != era {
+            // Revisions of another era cannot be compared with these.
+            self.revisions.remove(&kind);
+            self.written_revisions.remove(&kind);
+        }
         let latest_written = objects.iter().map(|object| object.revision).max();
         self.record_written(kind, latest_written.unwrap_or(0));
         let objects_by_name = objects
@@ -76,7 +85,15 @@
         self.notify(kind);
     }
 
-    /// Applies changes that bring a kind up to a revision
+    /// Adopts the objects of a kind that another host read in an era of the store
+    pub fn adopt(&mut self, kind: Kind, objects: Vec<Object>, era: Era) {
+        self.eras.insert(kind, era);
+        objects
+            .into_iter()
+            .for_each(|object| self.put(kind, object));
+    }
+
+    /// Applies changes that bring a kind up to a revision of the same era
     pub fn apply_changes(&mut self, kind: Kind, events: &[Event], revision: u64) {
         for event in events {
             match event {
@@ -98,11 +115,20 @@
         }
     }
 
-    /// Returns the changes after a revision, for a follower
-    pub fn changes_after(&self, kind: Kind, revision: u64) -> Update {
-        if !self.direct.contains(&kind) || self.unreachable_since.contains_key(&kind) {
+    /// Returns whether followers may read a kind here, as it is watched at the store itself
+    pub fn is_followable(&self, kind: Kind) -> bool {
+        self.direct.contains(&kind) && !self.unreachable_since.contains_key(&kind)
+    }
+
+    /// Returns the changes after a position, for a follower
+    pub fn changes_after(&self, kind: Kind, position: Position) -> Update {
+        let Position { era, revision } = position;
+        if !self.is_followable(kind) {
             return Update::Unavailable;
         }
+        if era != self.position(kind).era {
+            return Update::Compacted;
+        }
         if self
             .history_start
             .get(&kind)
@@ -182,7 +208,8 @@
     pub fn watermarks(&self) -> BTreeMap<Kind, Watermark> {
         let watermarks = self.objects.iter().map(|(kind, objects)| {
             let written_revision = self.written_revisions.get(kind).copied().unwrap_or(0);
-            (*kind, Watermark::new(written_revision, objects.len()))
+            let watermark = Watermark::new(written_revision, objects.len());
+            (*kind, watermark.with_era(self.position(*kind).era))
         });
         watermarks.collect()
     }
@@ -193,9 +220,17 @@
         *revision_entry = revision.max(*revision_entry);
     }
 
-    /// Returns the revision up to which each kind is current
-    pub fn revisions(&self) -> &BTreeMap<Kind, u64> {
-        &self.revisions
+    /// Returns the position up to which a kind is current
+    pub fn position(&self, kind: Kind) -> Position {
+        Position {
+            era: self.eras.get(&kind).copied().unwrap_or(0),
+            revision: self.revisions.get(&kind).copied().unwrap_or(0),
+        }
+    }
+
+    /// Returns the latest era of the store that any kind was read in
+    pub fn era(&self) -> Era {
+        self.eras.values().copied().max().unwrap_or(0)
     }
 
     /// Records a successful read of a kind; returns how long the kind was unreachable before
@@ -221,9 +256,14 @@
         !self.unreachable_since.is_empty()
     }
 
-    /// Returns whether a kind was read and can be read at the moment
+    /// Returns whether a kind was read in the current era and can be read at the moment
     pub fn is_readable(&self, kind: Kind) -> bool {
-        self.was_read(kind) && !self.unreachable_since.contains_key(&kind)
+        self.is_current(kind) && self.was_read(kind) && !self.unreachable_since.contains_key(&kind)
+    }
+
+    /// Returns whether a kind was read in the current era of the store
+    pub fn is_current(&self, kind: Kind) -> bool {
+        self.position(kind).era == self.era()
     }
 
     /// Returns whether a kind was ever read from a source this host follows
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,8 +24,10 @@
 
 mod accept;
 mod cold;
+mod era;
 mod exchange;
 mod forward;
+mod holdover;
 mod idle;
 mod log;
 mod metrics;
@@ -55,6 +57,10 @@
 /// against a wave of traffic
 const ARRIVAL_WINDOW: Duration = Duration::from_secs(3);
 
+/// Minimum time for which followers wait for their reader to begin a new era of the store; drawn up
+/// to twice as long by each host, so that they do not read the store together
+const ERA_LAG_TOLERANCE: Duration = Duration::from_millis(1500);
+
 /// State that all tasks of an entry host share
 #[derive(Debug)]
 pub struct Gateway {
@@ -72,6 +78,8 @@
     pub fleet: RefCell<Fleet>,
     /// Local copy of the store's objects
     pub mirror: RefCell<Mirror>,
+    /// Objects that the store lost and that stay in force for now
+    pub holdover: RefCell<holdover::Holdover>,
     /// Idle connections to endpoints
     pub idle_connections: RefCell<idle::Connections>,
     /// Requests that crashed endpoints
@@ -92,6 +100,12 @@
     demand: RefCell<BTreeMap<ServiceId, Demand>>,
     /// Rate limits for cold endpoints
     cold_buckets: RefCell<BTreeMap<EndpointId, cold::TokenBucket>>,
+    /// Whether this host knows what other hosts hold, or has asked in vain
+    knows_holdover: Cell<bool>,
+    /// Whether an older configuration replaces a newer one, as it stayed the store's
+    is_rollback_allowed: Cell<bool>,
+    /// How long other hosts may be in a newer era of the store before this one reads it directly
+    era_lag_tolerance: Duration,
     /// Full while reports are to be sent at once, since a request crashed an endpoint
     urgent_news: (Sender<()>, Receiver<()>),
     /// Whether a planned stop has begun
@@ -116,6 +130,7 @@
             configuration: RefCell::default(),
             pool: RefCell::default(),
             mirror: RefCell::default(),
+            holdover: RefCell::default(),
             idle_connections: RefCell::default(),
             quarantine: RefCell::default(),
             recorder: Recorder::new(),
@@ -126,6 +141,9 @@
             arrivals: RefCell::default(),
             demand: RefCell::default(),
             cold_buckets: RefCell::default(),
+            knows_holdover: Cell::new(false),
+            is_rollback_allowed: Cell::new(false),
+            era_lag_tolerance: ERA_LAG_TOLERANCE.mul_f64(1.0 + fastrand::f64()),
             urgent_news: bounded(1),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
@@ -169,13 +187,15 @@
             .map_or(0, |configuration| configuration.version)
     }
 
-    /// Activates a configuration if its version is higher; returns whether it did
+    /// Activates a configuration if its version is higher, or lower while a rollback is allowed;
+    /// returns whether it did
     pub fn apply(&self, configuration: Document) -> bool {
         let mut current = self.configuration.borrow_mut();
-        if current
-            .as_ref()
-            .is_some_and(|current| current.version >= configuration.version)
-        {
+        let is_due = current.as_ref().is_none_or(|current| {
+            current.version < configuration.version
+                || (self.is_rollback_allowed.get() && current.version > configuration.version)
+        });
+        if !is_due {
             return false;
         }
         self.recorder.event(
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,9 +11,9 @@
 use smol::net::UdpSocket;
 
 use super::{Gateway, quarantine};
-use crate::fleet::{LagDetector, Member, PING_INTERVAL, Report, Watermark};
+use crate::fleet::{LAG_TOLERANCE, LagDetector, Member, PING_INTERVAL, Report, Watermark};
 use crate::platform::record;
-use crate::platform::store::{Error, Kind, Session};
+use crate::platform::store::{Era, Error, Kind, Session};
 use crate::quarantine::{Key, Record, Source};
 
 /// Base interval of load reports within a region
@@ -102,10 +102,15 @@
     lag: &mut LagDetector<Kind>,
     resync_senders: &BTreeMap<Kind, Sender<()>>,
 ) {
-    let local = gateway.mirror.borrow().watermarks();
+    let mirror = gateway.mirror.borrow();
+    let own = mirror.watermarks();
     for (kind, remote) in watermarks {
-        let local = local.get(kind).copied().unwrap_or_default();
-        if lag.observe(now, *kind, local, *remote)
+        let local = own.get(kind).copied().unwrap_or_default();
+        let tolerance = match remote.era > local.era && !mirror.is_followable(*kind) {
+            true => gateway.era_lag_tolerance,
+            false => LAG_TOLERANCE,
+        };
+        if lag.observe(now, *kind, local, *remote, tolerance)
             && let Some(resync_sender) = resync_senders.get(kind)
             && resync_sender.try_send(()).is_err()
         {
@@ -223,9 +228,10 @@
     pub suspects: Vec<(Key, Record)>,
 }
 
-/// Encodes a message in two parts, of which hosts of earlier versions read only the first
+/// Encodes a message in parts, of which hosts of earlier versions read only the first one or two
 ///
-/// These hosts do not know [`Kind::Quarantine`], so its watermark is in the second part.
+/// The oldest of them do not know [`Kind::Quarantine`], so its watermark is in the second part. The
+/// third has the eras of the watermarks, if the store states any.
 pub fn encode(message: &Message) -> Vec<u8> {
     let mut watermarks = message.watermarks.clone();
     let quarantine = watermarks.remove(&Kind::Quarantine);
@@ -233,6 +239,14 @@
     let added = postcard::to_stdvec(&(quarantine, &message.suspects));
     let mut bytes = known.expect("plain data is always encoded");
     bytes.extend(added.expect("plain data is always encoded"));
+    let eras = message
+        .watermarks
+        .iter()
+        .map(|(kind, mark)| (*kind, mark.era));
+    let eras: BTreeMap<Kind, Era> = eras.filter(|(_, era)| *era > 0).collect();
+    if !eras.is_empty() {
+        bytes.extend(postcard::to_stdvec(&eras).expect("plain data is always encoded"));
+    }
     bytes
 }
 
@@ -242,9 +256,17 @@
         postcard::take_from_bytes(bytes)?;
     let mut suspects = Vec::new();
     if !rest.is_empty() {
+        let (added, rest) = postcard::take_from_bytes(rest)?;
         let quarantine: Option<Watermark>;
-        (quarantine, suspects) = postcard::from_bytes(rest)?;
+        (quarantine, suspects) = added;
         watermarks.extend(quarantine.map(|watermark| (Kind::Quarantine, watermark)));
+        let eras: BTreeMap<Kind, Era> = match rest.is_empty() {
+            true => BTreeMap::new(),
+            false => postcard::from_bytes(rest)?,
+        };
+        for (kind, watermark) in &mut watermarks {
+            watermark.era = eras.get(kind).copied().unwrap_or(0);
+        }
     }
     Ok(Message {
         report,
@@ -330,6 +352,10 @@
 }
 
 async fn remove_silent_host(gateway: &Gateway, session: &mut Session, member: &Member) {
+    if !gateway.mirror.borrow().is_current(Kind::Hosts) {
+        // The revision of the entry is of an earlier era, so the deletion could hit another one.
+        return;
+    }
     let fields = [("host", member.host.as_str().into())];
     gateway.recorder.event("host-silent", &fields);
     let revision = Some(member.revision).filter(|revision| *revision > 0);
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -4,14 +4,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use serde::Serialize;
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
-use super::Gateway;
 use super::mirror::Update;
+use super::{Gateway, era};
 use crate::message::{Connection, timeout};
 use crate::platform::front::{self, Request};
-use crate::platform::store;
+use crate::platform::{header, store};
 
 /// How long callers may cache a directory answer; the platform counts at least one second, and a
 /// stopping host stays listed that much longer
@@ -35,6 +36,16 @@
 /// Status, content type and body
 pub type Response = (u16, &'static str, String);
 
+/// Returns the header that states the era of the store to followers; empty for other responses
+fn era_line(gateway: &Gateway, port: Port, target: &str) -> String {
+    match (port, store::parse_request("GET", target)) {
+        (Port::Control, Some(store::Request::List(kind) | store::Request::Watch(kind, ..))) => {
+            header::store_era_line(gateway.mirror.borrow().position(kind).era)
+        }
+        _ => String::new(),
+    }
+}
+
 /// Answers requests of callers and of the platform
 fn respond_public(gateway: &Gateway, method: &str, target: &str) -> Response {
     match front::parse_request(method, target) {
@@ -72,41 +83,48 @@
     if let Some(request) = store::parse_request(method, target) {
         return respond_objects(gateway, request).await;
     }
+    if (method, target) == ("GET", era::HOLDOVER_PATH) {
+        return encode(&era::report(gateway));
+    }
     if (method, target) != ("GET", "/mirror") {
         return (
             404,
             "text/plain",
-            "paths are /mirror and /objects/KIND\n".to_owned(),
+            "paths are /mirror, /holdover and /objects/KIND\n".to_owned(),
         );
     }
     if gateway.configuration().is_none() {
         return (503, "text/plain", "nothing is known yet\n".to_owned());
     }
-    match serde_json::to_string(&*gateway.mirror.borrow()) {
+    encode(&*gateway.mirror.borrow())
+}
+
+fn encode(document: &impl Serialize) -> Response {
+    match serde_json::to_string(document) {
         Ok(text) => (200, "application/json", text),
         Err(error) => {
-            log::error!("cannot encode the mirror: {error}");
-            (500, "text/plain", "mirror cannot be encoded\n".to_owned())
+            log::error!("cannot encode a response for another host: {error}");
+            (500, "text/plain", "response cannot be encoded\n".to_owned())
         }
     }
 }
 
 async fn respond_objects(gateway: &Gateway, request: store::Request) -> Response {
     let json = |value: serde_json::Value| (200, "application/json", value.to_string());
-    let (kind, revision, wait) = match request {
-        store::Request::Watch(kind, revision, wait) => (kind, revision, wait),
+    let (kind, position, wait) = match request {
+        store::Request::Watch(kind, position, wait) => (kind, position, wait),
         store::Request::List(kind) => {
             let mirror = gateway.mirror.borrow();
-            let Update::Unchanged = mirror.changes_after(kind, u64::MAX) else {
+            if !mirror.is_followable(kind) {
                 return (503, "text/plain", "not followed here\n".to_owned());
-            };
-            let revision = mirror.revisions().get(&kind).copied().unwrap_or(0);
+            }
+            let revision = mirror.position(kind).revision;
             return json(store::list_response(mirror.objects(kind), revision));
         }
     };
     let deadline = Instant::now() + wait.min(MAX_WATCH_WAIT);
     loop {
-        let update = gateway.mirror.borrow().changes_after(kind, revision);
+        let update = gateway.mirror.borrow().changes_after(kind, position);
         match update {
             Update::Changes(events, next) => {
                 return json(store::watch_response(events.iter(), next));
@@ -118,8 +136,8 @@
         let changed = gateway.mirror.borrow_mut().subscribe(kind);
         // The sender is dropped at a change, which ends the wait with an error.
         if timeout(deadline, changed.recv()).await.is_none() {
-            let latest = gateway.mirror.borrow().revisions().get(&kind).copied();
-            let next = latest.unwrap_or(revision).max(revision);
+            let latest = gateway.mirror.borrow().position(kind);
+            let next = latest.max(position).revision;
             return json(store::watch_response([].iter(), next));
         }
     }
@@ -195,13 +213,14 @@
         let (status, content_type, body) = port
             .respond(&gateway, &request.method, &request.target)
             .await;
+        let era_line = era_line(&gateway, port, &request.target);
         let connection_header = if request.keep_alive {
             ""
         } else {
             "Connection: close\r\n"
         };
         let response = format!(
-            "HTTP/1.1 {status} -\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\n{connection_header}\r\n{body}",
+            "HTTP/1.1 {status} -\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\n{era_line}{connection_header}\r\n{body}",
             body.len()
         );
         let written = connection
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -142,6 +142,14 @@
     gateway.recorder.event("suspect-told", &fields);
 }
 
+/// Marks all records as not stored, since the store came back from an older copy; they are written
+/// again after delays that spread the writes over the fleet
+pub fn begin_restore(gateway: &Gateway) {
+    let now = Instant::now();
+    let mut quarantine = gateway.quarantine.borrow_mut();
+    quarantine.mark_unsaved(|| now + save_delay(gateway));
+}
+
 /// Applies a complete list of the store's records
 pub fn apply_list(gateway: &Gateway, objects: &[Object]) {
     let now = SystemTime::now();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,7 +14,9 @@
 use smol::{LocalExecutor, Timer};
 
 use super::ports::Port;
-use super::{Gateway, accept, log as gateway_log, peers, ports, probe, quarantine, stop, watch};
+use super::{
+    Gateway, accept, era, log as gateway_log, peers, ports, probe, quarantine, stop, watch,
+};
 use crate::error::Error;
 use crate::platform::node;
 use crate::platform::store::Kind;
@@ -91,6 +93,7 @@
         .spawn(quarantine::maintain_records(gateway.clone()))
         .detach();
     gateway.spawn(watch::bootstrap(gateway.clone())).detach();
+    gateway.spawn(era::maintain(gateway.clone())).detach();
     let (stop_sender, stop_receiver) = bounded(1);
     let accept_task = gateway.spawn(accept::serve(
         gateway.clone(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -42,6 +42,8 @@
     pub grace_period: Duration,
     /// How long an endpoint may receive requests after the store acknowledged that it leaves
     pub drain_time: Duration,
+    /// Time after which all live endpoints have written their entries again to a restored store
+    pub restore_time: Duration,
     /// Maximum lifetime of a directory answer
     pub max_directory_ttl: Duration,
     /// Limit on retries of the whole fleet
--- a/src/gateway/tests/mirror.rs
+++ b/src/gateway/tests/mirror.rs
@@ -5,10 +5,14 @@
 use serde_json::Value;
 
 use crate::gateway::mirror::{Mirror, Update};
-use crate::platform::store::{Event, Kind, Object};
+use crate::platform::store::{Event, Kind, Object, Position};
 
 const KIND: Kind = Kind::Configuration;
 
+fn at(revision: u64) -> Position {
+    Position { era: 1, revision }
+}
+
 fn put(name: &str, revision: u64) -> Event {
     Event::Put(Object {
         name: name.into(),
@@ -20,7 +24,7 @@
 /// Returns a mirror that was listed at revision 10 and changed at 12 and 15
 fn reader() -> Mirror {
     let mut mirror = Mirror::default();
-    mirror.replace(Instant::now(), KIND, Vec::new(), 10);
+    mirror.replace(Instant::now(), KIND, Vec::new(), at(10));
     mirror.set_direct(KIND, true);
     mirror.apply_changes(KIND, &[put("a", 12)], 12);
     mirror.apply_changes(KIND, &[put("b", 14), Event::Removed("a".into())], 15);
@@ -56,7 +60,7 @@
         },
     ];
     for case in cases {
-        let event_count = match reader().changes_after(KIND, case.revision) {
+        let event_count = match reader().changes_after(KIND, at(case.revision)) {
             Update::Changes(events, next) => {
                 assert_eq!(next, 15);
                 Some(events.len())
@@ -77,11 +81,11 @@
         !unreachable.mark_unreachable(Instant::now(), KIND),
         "the second failure is not new"
     );
-    assert_eq!(unreachable.changes_after(KIND, 12), Update::Unavailable);
+    assert_eq!(unreachable.changes_after(KIND, at(12)), Update::Unavailable);
     let mut follower = reader();
     let subscription = follower.subscribe(KIND);
     follower.set_direct(KIND, false);
-    assert_eq!(follower.changes_after(KIND, 12), Update::Unavailable);
+    assert_eq!(follower.changes_after(KIND, at(12)), Update::Unavailable);
     assert!(
         subscription.is_closed(),
         "waiting followers are not notified"
@@ -110,3 +114,27 @@
         "the watermark hides a missed write"
     );
 }
+
+#[test]
+fn positions_of_an_older_era_are_compacted() {
+    let mut mirror = reader();
+    let before = mirror.watermarks()[&KIND];
+    let subscription = mirror.subscribe(KIND);
+    let restored = Position {
+        era: 2,
+        revision: 3,
+    };
+    mirror.replace(Instant::now(), KIND, Vec::new(), restored);
+    assert!(
+        subscription.is_closed(),
+        "waiting followers are not notified"
+    );
+    assert_eq!(mirror.position(KIND), restored);
+    assert_eq!(mirror.changes_after(KIND, at(15)), Update::Compacted);
+    assert_eq!(mirror.changes_after(KIND, at(3)), Update::Compacted);
+    assert_eq!(mirror.changes_after(KIND, restored), Update::Unchanged);
+    assert!(
+        mirror.watermarks()[&KIND] > before,
+        "hosts that are behind the new era do not notice"
+    );
+}
--- a/src/gateway/tests/peers.rs
+++ b/src/gateway/tests/peers.rs
@@ -6,12 +6,12 @@
 use crate::fleet::{Report, Watermark};
 use crate::gateway::peers::{Message, decode, encode};
 use crate::platform::store::Kind;
-use crate::quarantine::Record;
+use crate::quarantine::{Key, Record};
 
-fn message(kinds: &[Kind], suspects: usize) -> Message {
+fn message(kinds: &[Kind], suspects: usize, era: u64) -> Message {
     let watermarks = kinds
         .iter()
-        .map(|kind| (*kind, Watermark::new(7, 3)))
+        .map(|kind| (*kind, Watermark::new(7, 3).with_era(era)))
         .collect();
     let record = Record {
         crashed: BTreeSet::from([1, u64::MAX]),
@@ -40,35 +40,51 @@
         name: &'static str,
         kinds: &'static [Kind],
         suspects: usize,
+        era: u64,
     }
     let cases = [
         Case {
             name: "host that read nothing yet",
             kinds: &[],
             suspects: 0,
+            era: 0,
         },
         Case {
             name: "all kinds, no news",
             kinds: &Kind::ALL,
             suspects: 0,
+            era: 0,
         },
         Case {
             name: "all kinds and news",
             kinds: &Kind::ALL,
             suspects: 3,
+            era: 0,
+        },
+        Case {
+            name: "a store that states its era",
+            kinds: &Kind::ALL,
+            suspects: 3,
+            era: 4,
         },
     ];
     for case in cases {
-        let sent = message(case.kinds, case.suspects);
+        let sent = message(case.kinds, case.suspects, case.era);
         let bytes = encode(&sent);
         assert_eq!(decode(&bytes).ok().as_ref(), Some(&sent), "{}", case.name);
         // Earlier versions read a report and the watermarks of the kinds that they know.
         let known = |kind: &Kind| *kind != Kind::Quarantine;
         let mut watermarks = sent.watermarks.clone();
         watermarks.retain(|kind, _| known(kind));
+        watermarks.values_mut().for_each(|mark| mark.era = 0);
         let parsed: (Report, BTreeMap<Kind, Watermark>) =
             postcard::from_bytes(&bytes).expect("the first part is as before");
         assert_eq!(parsed, (sent.report.clone(), watermarks), "{}", case.name);
+        let (_, rest): ((Report, BTreeMap<Kind, Watermark>), _) =
+            postcard::take_from_bytes(&bytes).expect("the first part is as before");
+        let (_, suspects): (Option<Watermark>, Vec<(Key, Record)>) =
+            postcard::from_bytes(rest).expect("the second part is as before");
+        assert_eq!(suspects, sent.suspects, "{}", case.name);
         let earlier = postcard::to_stdvec(&parsed).expect("it is encoded");
         let received = decode(&earlier).expect("the first part is enough");
         assert_eq!(received.report, sent.report, "{}", case.name);
--- a/src/gateway/tests/watch.rs
+++ b/src/gateway/tests/watch.rs
@@ -35,6 +35,7 @@
         memory_bytes: 64 << 20,
         max_descriptors: 256,
         drain_time: Duration::from_secs(2),
+        restore_time: Duration::from_secs(6),
         grace_period: Duration::from_secs(4),
         max_directory_ttl: Duration::from_secs(5),
         retry_bound: Bound {
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -11,11 +11,10 @@
 use smol::channel::Receiver;
 use smol::future::FutureExt;
 
-use super::{Gateway, peers, quarantine};
-use crate::message::Connection;
+use super::{Gateway, era, peers, quarantine};
 use crate::object::Backoff;
 use crate::platform::record;
-use crate::platform::store::{Error, Event, Kind, Object, Session};
+use crate::platform::store::{Error, Event, Kind, Object, Position, Session};
 use crate::util::stable_hash;
 
 /// How long a watch waits for a change; the store allows at most 30 s
@@ -39,18 +38,17 @@
 /// against the seconds for which a leaving endpoint still serves
 const BATCH_DELAY: Duration = Duration::from_millis(150);
 
+/// Time per host of a region over which its followers spread lists that they need at the same time
+const LIST_DELAY_PER_HOST: Duration = Duration::from_millis(5);
+
 /// Time after a failure at which the preferred source is tried again
 const PREFERRED_SOURCE_RETRY_DELAY: Duration = Duration::from_secs(4);
 
 /// Interval at which a starting host without data tries to fetch a mirror from other hosts
 const BOOTSTRAP_INTERVAL: Duration = Duration::from_millis(600);
 
-/// Timeout for connecting to another host, and for sending the request; the whole fetch may take
-/// twice as long
-const BOOTSTRAP_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Maximum length of a mirror, in bytes
-const MAX_MIRROR_BYTES: usize = 8 << 20;
+/// Timeout for fetching a mirror from another host
+const BOOTSTRAP_TIMEOUT: Duration = Duration::from_millis(1600);
 
 /// Source from which a kind is read
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,8 +102,8 @@
 /// Progress of following one kind
 #[derive(Debug, Default)]
 struct Progress {
-    revision: Option<u64>,
-    /// Position in the list of sources
+    position: Option<Position>,
+    /// Index in the list of sources
     source_index: usize,
     /// Number of consecutive failures
     failures: usize,
@@ -128,9 +126,10 @@
         }
         let source = sources[progress.source_index % sources.len()];
         session.set_address(source.address);
+        session.set_states_era(!source.is_store);
         let polled =
             async { Some(poll_source(&gateway, &mut session, kind, &progress, source).await) };
-        let is_store_listing = source.is_store && progress.revision.is_none();
+        let is_store_listing = source.is_store && progress.position.is_none();
         let resync_requested = async {
             if is_store_listing {
                 // The store's list contains the newer revisions, but may be slow on a busy link.
@@ -164,12 +163,16 @@
             Some(Ok(next)) => {
                 backoff.record_success();
                 progress.failures = 0;
-                progress.revision = Some(next);
+                progress.position = Some(next);
                 continue;
             }
-            Some(Err(Error::Compacted)) => {
-                log::info!("{kind:?}: history was compacted; listing all objects again");
-                progress.revision = None;
+            Some(Err(error @ (Error::Compacted | Error::NewEra(_)))) => {
+                log::info!("{kind:?}: {error}; listing all objects again");
+                progress.position = None;
+                if !source.is_store {
+                    // All followers of a reader notice at the same time.
+                    Timer::after(list_delay(&gateway)).await;
+                }
                 continue;
             }
             Some(Err(error)) => {
@@ -188,7 +191,7 @@
                     .position(|source| source.is_store)
                     .unwrap_or(0);
                 progress.last_failure = Some(Instant::now());
-                progress.revision = None;
+                progress.position = None;
                 session.disconnect();
                 continue;
             }
@@ -196,7 +199,7 @@
         session.disconnect();
         // A watch that is resumed right after it broke may miss the changes in between, as the
         // store drops its history; a list contains them.
-        progress.revision = None;
+        progress.position = None;
         // A watch at the store may break for a transient reason, so it is retried once.
         if !source.is_store || progress.failures > 1 {
             progress.source_index += 1;
@@ -211,25 +214,30 @@
     kind: Kind,
     progress: &Progress,
     source: Source,
-) -> Result<u64, Error> {
-    let Some(revision) = progress.revision else {
-        let (objects, revision) = session.list(kind).await?;
+) -> Result<Position, Error> {
+    let Some(position) = progress.position else {
+        let (objects, position) = session.list(kind).await?;
+        if position.era < gateway.mirror.borrow().era() {
+            return Err(Error::OldEra(position.era));
+        }
         mark_store_regained(gateway, kind, source);
+        era::begin(gateway, kind, position.era, &objects);
         let now = Instant::now();
         let mut mirror = gateway.mirror.borrow_mut();
-        mirror.replace(now, kind, objects.clone(), revision);
+        mirror.replace(now, kind, objects.clone(), position);
         drop(mirror);
         apply_list(gateway, kind, &objects);
-        return Ok(revision);
+        return Ok(position);
     };
-    let (events, next) = session.watch(kind, revision, WATCH_WAIT).await?;
+    let (events, next) = session.watch(kind, position, WATCH_WAIT).await?;
     mark_store_regained(gateway, kind, source);
     gateway
         .mirror
         .borrow_mut()
-        .apply_changes(kind, &events, next);
+        .apply_changes(kind, &events, next.revision);
     let has_changes = !events.is_empty();
     for event in events {
+        era::settle(gateway, kind, &event);
         apply_event(gateway, kind, event);
     }
     if has_changes && source.is_store && matches!(kind, Kind::Endpoints | Kind::Hosts) {
@@ -239,6 +247,13 @@
     Ok(next)
 }
 
+/// Draws the delay after which a follower lists a kind again when all followers of a reader have to
+fn list_delay(gateway: &Gateway) -> Duration {
+    let region = gateway.settings.borrow().region.clone();
+    let hosts = gateway.fleet.borrow().count_in_region(&region) as u32;
+    (LIST_DELAY_PER_HOST * hosts).mul_f64(fastrand::f64())
+}
+
 fn mark_store_lost(gateway: &Gateway, kind: Kind, error: &Error) {
     if gateway
         .mirror
@@ -273,7 +288,7 @@
 }
 
 /// Applies a complete list
-fn apply_list(gateway: &Gateway, kind: Kind, objects: &[Object]) {
+pub fn apply_list(gateway: &Gateway, kind: Kind, objects: &[Object]) {
     let now = Instant::now();
     match kind {
         Kind::Configuration => objects
@@ -313,7 +328,7 @@
             None => log::warn!("cannot read the entry of host {}", object.name),
         },
         (Kind::Hosts, Event::Removed(name)) => {
-            gateway.fleet.borrow_mut().remove(&name);
+            gateway.fleet.borrow_mut().remove(Instant::now(), &name);
             gateway.pool.borrow_mut().remove_host(&name);
         }
         (Kind::Quarantine, event) => quarantine::apply_event(gateway, event),
@@ -321,7 +336,7 @@
 }
 
 fn apply_configuration(gateway: &Gateway, object: &Object) {
-    if object.name != record::CONFIGURATION_NAME {
+    if object.name != record::CONFIGURATION_NAME || !era::may_configure(gateway) {
         return;
     }
     match record::decode_configuration(object) {
@@ -371,10 +386,7 @@
 }
 
 fn apply_evacuations(gateway: &Gateway) {
-    let mirror = gateway.mirror.borrow();
-    let zones =
-        record::evacuated_zones(mirror.objects(Kind::Evacuations).map(|object| &object.name));
-    drop(mirror);
+    let zones = record::evacuated_zones(era::evacuations(gateway).iter());
     let configuration = gateway.configuration();
     let warmup = |service: &crate::id::ServiceId| {
         let service = configuration
@@ -406,7 +418,7 @@
         let own_address = gateway.settings.borrow().control_address;
         let seeds = gateway.settings.borrow().seed_addresses.clone();
         for seed in seeds.into_iter().filter(|seed| Some(*seed) != own_address) {
-            match fetch_mirror(seed).await {
+            match era::fetch(seed, "/mirror", BOOTSTRAP_TIMEOUT).await {
                 Ok(mirror) => {
                     adopt_mirror(&gateway, mirror);
                     break;
@@ -424,31 +436,10 @@
             continue;
         }
         let objects: Vec<Object> = peer_mirror.objects(kind).cloned().collect();
-        for object in &objects {
-            gateway.mirror.borrow_mut().put(kind, object.clone());
-        }
+        let mut mirror = gateway.mirror.borrow_mut();
+        mirror.adopt(kind, objects.clone(), peer_mirror.position(kind).era);
+        drop(mirror);
         apply_list(gateway, kind, &objects);
     }
     gateway.recorder.event("adopted", &[]);
 }
-
-async fn fetch_mirror(seed: SocketAddr) -> Result<super::Mirror, String> {
-    let to_text = |error: &dyn std::fmt::Display| error.to_string();
-    let exchange = async {
-        let connection = Connection::connect(seed, BOOTSTRAP_TIMEOUT).await;
-        let mut connection = connection.map_err(|error| to_text(&error))?;
-        let deadline = Instant::now() + BOOTSTRAP_TIMEOUT;
-        let head = format!("GET /mirror HTTP/1.1\r\nHost: {seed}\r\nConnection: close\r\n\r\n");
-        let written = connection.write(head.as_bytes(), deadline).await;
-        written.map_err(|error| to_text(&error))?;
-        let answer = connection
-            .read_response("GET")
-            .await
-            .map_err(|error| to_text(&error))?;
-        let body = connection.read_body(answer.length, MAX_MIRROR_BYTES).await;
-        let body = body.map_err(|error| to_text(&error))?;
-        serde_json::from_slice(&body).map_err(|error| to_text(&error))
-    };
-    let result = crate::message::timeout(Instant::now() + BOOTSTRAP_TIMEOUT * 2, exchange).await;
-    result.unwrap_or_else(|| Err("request timed out".to_owned()))
-}
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -16,6 +16,7 @@
         slots: 3,
         draining: false,
         start_unix_millis: None,
+        sequence: 1,
         warmup_remaining: Duration::ZERO,
     }
 }
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -33,6 +33,19 @@
 /// Name of the cookie with the affinity key of a request
 const AFFINITY_KEY: &str = "Affinity-Key";
 
+/// Number of times that the store came back from an older copy; on all its responses
+const STORE_ERA: &str = "Store-Era";
+
+/// Returns the era of the store that a response states
+pub fn store_era(headers: &Headers) -> Option<u64> {
+    headers.get(STORE_ERA)?.trim().parse().ok()
+}
+
+/// Returns the header line that states the era of a host's copy of the store
+pub fn store_era_line(era: u64) -> String {
+    format!("{STORE_ERA}: {era}\r\n")
+}
+
 /// Returns the id of the caller's attempt
 pub fn attempt_id(headers: &Headers) -> Option<&str> {
     headers.get(ATTEMPT_ID)
--- a/src/platform/node.rs
+++ b/src/platform/node.rs
@@ -18,6 +18,14 @@
 /// Path of the settings file if [`PATH_VARIABLE`] is not set
 pub const DEFAULT_PATH: &str = "/etc/tanagerpier/node.yaml";
 
+/// Number of missed heartbeats after which the platform removes the entry of an endpoint, and one for
+/// the way
+const RESTORE_HEARTBEATS: f64 = 4.0;
+
+fn default_heartbeat_millis() -> f64 {
+    1500.0
+}
+
 /// Reason why the settings file cannot be used
 #[derive(Debug, Display)]
 pub enum Error {
@@ -44,6 +52,9 @@
     /// Control addresses of up to three other hosts; they may be stale
     #[serde(default)]
     seeds: Vec<SocketAddr>,
+    /// Interval at which endpoints write their entries
+    #[serde(default = "default_heartbeat_millis")]
+    heartbeat_ms: f64,
     #[serde(default)]
     limits: Limits,
     #[serde(default)]
@@ -153,6 +164,7 @@
         max_descriptors: file.limits.max_fds,
         grace_period: seconds(file.bounds.grace_s)?,
         drain_time: seconds(file.bounds.drain_ms / 1000.0)?,
+        restore_time: seconds(file.heartbeat_ms / 1000.0 * RESTORE_HEARTBEATS)?,
         max_directory_ttl: seconds(file.bounds.ttl_max_s)?,
         retry_bound: Bound {
             ratio: file.bounds.retry_ratio,
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -96,6 +96,14 @@
     warmup_left_ms: f64,
     /// Start time of the endpoint in Unix milliseconds
     born: Option<u64>,
+    /// Number of entries that this run of the endpoint wrote so far
+    #[serde(default)]
+    sequence: Value,
+}
+
+/// Returns the version of the operator's configuration; `None` if the object has none
+pub fn configuration_version(object: &Object) -> Option<u64> {
+    object.spec["version"].as_u64()
 }
 
 /// Decodes the operator's configuration; the error states why it is invalid
@@ -199,6 +207,7 @@
         slots: entry.max_concurrency,
         draining,
         start_unix_millis: entry.born,
+        sequence: entry.sequence.as_u64().unwrap_or(0),
         warmup_remaining: seconds_or_zero(entry.warmup_left_ms / 1000.0),
     })
 }
--- a/src/platform/standin/endpoint.rs
+++ b/src/platform/standin/endpoint.rs
@@ -62,6 +62,8 @@
     faults: Faults,
     /// Number of starts, which serves as the start time in the endpoint's store object
     starts: u64,
+    /// Number of store objects returned, which serves as their sequence number
+    entries: u64,
     /// Stops the endpoint; `None` while it does not run
     crash: Option<Sender<()>>,
     /// Arrival times of accepted requests by attempt id
@@ -101,6 +103,7 @@
         {
             let mut state = lock(&self.state);
             state.starts += 1;
+            state.entries = 0;
             state.crash = Some(crash);
         }
         let state = self.state.clone();
@@ -128,10 +131,12 @@
 
     /// Returns the content of the endpoint's store object
     pub fn store_spec(&self, service: &str, zone: &str, address: SocketAddr, state: &str) -> Value {
+        let mut own = lock(&self.state);
+        own.entries += 1;
         json!({
             "service": service, "zone": zone, "address": address.to_string(), "state": state,
             "version": "v1", "max_concurrency": self.options.slots, "warmup_left_ms": 0,
-            "sequence": 1, "born": lock(&self.state).starts,
+            "sequence": own.entries, "born": own.starts,
         })
     }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,7 +2,11 @@
 //!
 //! A call without a response may have taken effect or may still do so later. Users of [`Session`]
 //! therefore retry only idempotent writes.
+//!
+//! The store may come back from an older copy of its content. It then begins a new era, in which
+//! revisions are given out again, so a revision is compared only together with its era.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -11,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
+use super::header;
 use crate::message::{self, Connection, timeout};
 
 /// Timeout for opening a connection; the store is at most one region away
@@ -59,6 +64,18 @@
     }
 }
 
+/// Number of times that the store came back from an older copy; 0 if it does not say
+pub type Era = u64;
+
+/// Position in the history of the store; a later one is greater
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// Era of the store
+    pub era: Era,
+    /// Revision within the era
+    pub revision: u64,
+}
+
 /// Reason why a call failed
 #[derive(Debug, Display)]
 pub enum Error {
@@ -70,6 +87,10 @@
     Rejected(u16),
     /// the requested history was compacted
     Compacted,
+    /// the store began era {0}
+    NewEra(Era),
+    /// the response is of an earlier era, {0}
+    OldEra(Era),
     /// the object does not exist
     NotFound,
     /// the object exists already or has another revision
@@ -106,6 +127,16 @@
     address: SocketAddr,
     connection: Option<Connection>,
     calls: u64,
+    /// Whether requests for changes state the era; only hosts of this system read it
+    states_era: bool,
+}
+
+/// Response to a call
+#[derive(Debug)]
+struct Response {
+    status: u16,
+    body: Vec<u8>,
+    era: Era,
 }
 
 impl Session {
@@ -115,6 +146,7 @@
             address,
             connection: None,
             calls: 0,
+            states_era: false,
         }
     }
 
@@ -131,26 +163,37 @@
         }
     }
 
+    /// Sets whether requests for changes state the era, as hosts of this system expect
+    pub fn set_states_era(&mut self, states_era: bool) {
+        self.states_era = states_era;
+    }
+
     /// Closes the connection, for example after a timeout
     pub fn disconnect(&mut self) {
         self.connection = None;
     }
 
-    /// Returns all objects of a kind and the store revision to watch from
-    pub async fn list(&mut self, kind: Kind) -> Result<(Vec<Object>, u64), Error> {
+    /// Returns all objects of a kind and the position to watch from
+    ///
+    /// Fails with [`Error::NewEra`] if the store begins an era between two pages.
+    pub async fn list(&mut self, kind: Kind) -> Result<(Vec<Object>, Position), Error> {
         let mut objects = Vec::new();
-        let mut first_revision = None;
+        let mut first_position: Option<Position> = None;
         let mut last_name = String::new();
         loop {
             let path = match last_name.is_empty() {
                 true => format!("/objects/{}", kind.name()),
                 false => format!("/objects/{}?after={last_name}", kind.name()),
             };
-            let (status, body) = self.call("GET", &path, None, CALL_TIMEOUT).await?;
-            let page = parse_response(status, &body)?;
+            let response = self.call("GET", &path, None, CALL_TIMEOUT).await?;
+            let era = response.era;
+            let page = parse_response(&response)?;
+            if first_position.is_some_and(|position| position.era != era) {
+                return Err(Error::NewEra(era));
+            }
             let revision = page["store_revision"].as_u64();
             // A watch from the first revision also returns changes made between two pages.
-            first_revision = first_revision.or(revision);
+            first_position = first_position.or(revision.map(|revision| Position { era, revision }));
             let items = page["items"].as_array();
             let items = items.ok_or_else(|| Error::Malformed("items is missing".to_owned()))?;
             objects.extend(items.iter().filter_map(decode_object));
@@ -162,27 +205,38 @@
                 _ => break,
             }
         }
-        let revision = first_revision
+        let position = first_position
             .ok_or_else(|| Error::Malformed("store_revision is missing".to_owned()))?;
-        Ok((objects, revision))
+        Ok((objects, position))
     }
 
-    /// Waits for changes after a revision; returns them and the revision to continue from
+    /// Waits for changes after a position; returns them and the position to continue from
     ///
-    /// Returns no changes if none were made within `wait`.
+    /// Returns no changes if none were made within `wait`. Fails with [`Error::NewEra`] or
+    /// [`Error::OldEra`] if the response is of another era than the position.
     pub async fn watch(
         &mut self,
         kind: Kind,
-        revision: u64,
+        position: Position,
         wait: Duration,
-    ) -> Result<(Vec<Event>, u64), Error> {
-        let path = format!(
+    ) -> Result<(Vec<Event>, Position), Error> {
+        let Position { era, revision } = position;
+        let mut path = format!(
             "/objects/{}?watch={revision}&wait_ms={}",
             kind.name(),
             wait.as_millis()
         );
-        let (status, body) = self.call("GET", &path, None, wait + CALL_TIMEOUT).await?;
-        let response = parse_response(status, &body)?;
+        if self.states_era {
+            path.push_str(&format!("&era={era}"));
+        }
+        let response = self.call("GET", &path, None, wait + CALL_TIMEOUT).await?;
+        let answered_era = response.era;
+        let response = parse_response(&response)?;
+        match answered_era.cmp(&era) {
+            Ordering::Less => return Err(Error::OldEra(answered_era)),
+            Ordering::Greater => return Err(Error::NewEra(answered_era)),
+            Ordering::Equal => {}
+        }
         let events = response["events"]
             .as_array()
             .map(Vec::as_slice)
@@ -195,25 +249,26 @@
             }
         });
         let next = response["store_revision"].as_u64().unwrap_or(revision);
-        Ok((events.collect(), next.max(revision)))
+        let revision = next.max(revision);
+        Ok((events.collect(), Position { era, revision }))
     }
 
     /// Creates an object; fails with [`Error::Conflict`] if it exists
     pub async fn create(&mut self, kind: Kind, name: &str, spec: &Value) -> Result<(), Error> {
         let path = format!("/objects/{}", kind.name());
-        let (status, response) = self
+        let response = self
             .call("POST", &path, Some(&object_body(name, spec)), CALL_TIMEOUT)
             .await?;
-        parse_response(status, &response).map(|_| ())
+        parse_response(&response).map(|_| ())
     }
 
     /// Replaces an object; fails with [`Error::NotFound`] if it does not exist
     pub async fn replace(&mut self, kind: Kind, name: &str, spec: &Value) -> Result<(), Error> {
         let path = format!("/objects/{}/{}", kind.name(), percent_encode(name));
-        let (status, response) = self
+        let response = self
             .call("PUT", &path, Some(&object_body(name, spec)), CALL_TIMEOUT)
             .await?;
-        parse_response(status, &response).map(|_| ())
+        parse_response(&response).map(|_| ())
     }
 
     /// Deletes an object; if `revision` is set, only if the object still has that revision
@@ -229,8 +284,8 @@
         if let Some(revision) = revision {
             path.push_str(&format!("?revision={revision}"));
         }
-        let (status, response) = self.call("DELETE", &path, None, CALL_TIMEOUT).await?;
-        match parse_response(status, &response) {
+        let response = self.call("DELETE", &path, None, CALL_TIMEOUT).await?;
+        match parse_response(&response) {
             Ok(_) | Err(Error::NotFound) => Ok(()),
             Err(error) => Err(error),
         }
@@ -242,7 +297,7 @@
         path: &str,
         body: Option<&Value>,
         timeout_after: Duration,
-    ) -> Result<(u16, Vec<u8>), Error> {
+    ) -> Result<Response, Error> {
         self.calls += 1;
         let mut connection = match self.connection.take() {
             Some(connection) if connection.is_idle().await => connection,
@@ -278,7 +333,11 @@
         if head.keep_alive {
             self.connection = Some(connection);
         }
-        Ok((head.status, body))
+        Ok(Response {
+            status: head.status,
+            era: header::store_era(&head.headers).unwrap_or(0),
+            body,
+        })
     }
 }
 
@@ -286,8 +345,9 @@
     json!({ "metadata": { "name": name, "finalizers": [] }, "spec": spec })
 }
 
-fn parse_response(status: u16, body: &[u8]) -> Result<Value, Error> {
-    match status {
+fn parse_response(response: &Response) -> Result<Value, Error> {
+    let body = &response.body;
+    match response.status {
         200..=299 if body.is_empty() => Ok(Value::Null),
         200..=299 => {
             serde_json::from_slice(body).map_err(|error| Error::Malformed(error.to_string()))
@@ -295,7 +355,7 @@
         404 => Err(Error::NotFound),
         409 => Err(Error::Conflict),
         410 => Err(Error::Compacted),
-        _ => Err(Error::Rejected(status)),
+        status => Err(Error::Rejected(status)),
     }
 }
 
@@ -313,8 +373,8 @@
 pub enum Request {
     /// Lists all objects of a kind
     List(Kind),
-    /// Waits for changes of a kind after a revision, for at most the given time
-    Watch(Kind, u64, Duration),
+    /// Waits for changes of a kind after a position, for at most the given time
+    Watch(Kind, Position, Duration),
 }
 
 /// Parses a list or watch request as [`Session`] sends it
@@ -330,7 +390,8 @@
     Some(match number_parameter("watch") {
         Some(revision) => {
             let wait = Duration::from_millis(number_parameter("wait_ms").unwrap_or(0));
-            Request::Watch(kind, revision, wait)
+            let era = number_parameter("era").unwrap_or(0);
+            Request::Watch(kind, Position { era, revision }, wait)
         }
         None => Request::List(kind),
     })
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 use super::header;
-use super::store::{self, Kind, Object, Request as StoreRequest};
+use super::store::{self, Kind, Object, Position, Request as StoreRequest};
 use super::{front, node, record};
 use crate::message::{Headers, Request, Response};
 use crate::policy::Execution;
@@ -212,7 +212,11 @@
 
 #[test]
 fn requests_between_hosts_have_the_form_of_store_requests() {
-    let watch = StoreRequest::Watch(Kind::Hosts, 5, Duration::from_millis(70));
+    let position = Position {
+        era: 2,
+        revision: 5,
+    };
+    let watch = StoreRequest::Watch(Kind::Hosts, position, Duration::from_millis(70));
     struct Case {
         target: &'static str,
         request: Option<StoreRequest>,
@@ -223,7 +227,7 @@
             request: Some(StoreRequest::List(Kind::Endpoints)),
         },
         Case {
-            target: "/objects/entry-hosts?watch=5&wait_ms=70",
+            target: "/objects/entry-hosts?watch=5&wait_ms=70&era=2",
             request: Some(watch),
         },
         Case {
--- a/src/quarantine/register.rs
+++ b/src/quarantine/register.rs
@@ -434,6 +434,14 @@
         due.map(|(key, entry)| (*key, entry.record(now)))
     }
 
+    /// Marks all records as missing in the store; each is written from the time that `save_at` returns
+    pub fn mark_unsaved(&mut self, save_at: impl Fn() -> Instant) {
+        for entry in self.entries.values_mut() {
+            entry.stored.clear();
+            entry.save_at = save_at();
+        }
+    }
+
     /// Postpones the next write of a record to the store
     pub fn postpone_save(&mut self, key: Key, until: Instant) {
         if let Some(entry) = self.entries.get_mut(&key) {
--- a/tests/era.rs
+++ b/tests/era.rs
@@ -26,6 +26,9 @@
 /// Time for which an endpoint that began to leave may still get requests
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// Number of crashes after which a request is refused for long; one more trial than after two
+const CRASHES: usize = 3;
+
 /// A drill and what happens around it
 #[derive(Clone, Copy, Debug)]
 struct Case {
@@ -48,14 +51,19 @@
     older_configuration: usize,
     to_drained: usize,
     to_evacuated: usize,
+    /// Arrivals of a crashing request beyond the third
     crash_arrivals: usize,
 }
 
 /// Sends a request; returns the status of the answer
 async fn send(host: SocketAddr, target: &str, id: &str) -> Option<u16> {
+    let key = match id.starts_with(endpoint::CRASH_MARKER) {
+        true => endpoint::CRASH_MARKER,
+        false => id,
+    };
     let request = format!(
         "GET {target} HTTP/1.1\r\nHost: {HOST_NAME}\r\nAttempt-Id: {id}\r\n\
-         Cookie: Affinity-Key={id}\r\nRequest-Deadline: 2000\r\nConnection: close\r\n\r\n"
+         Cookie: Affinity-Key={key}\r\nRequest-Deadline: 2000\r\nConnection: close\r\n\r\n"
     );
     let deadline = Instant::now() + Duration::from_secs(3);
     let exchange = async {
@@ -120,14 +128,9 @@
     for number in 0..case.lost_writes {
         site.store.write("other", "counter", json!(number));
     }
-    for repeat in 0..3 {
+    for (repeat, host) in hosts.iter().take(3).enumerate() {
         let id = format!("crash-{repeat}");
-        send(
-            hosts[repeat],
-            &format!("/safe/{}", endpoint::CRASH_MARKER),
-            &id,
-        )
-        .await;
+        send(*host, &format!("/safe/{}", endpoint::CRASH_MARKER), &id).await;
         for index in 0..site.servers.len() {
             if site.servers[index].endpoint.is_crashed() {
                 site.restart_server(index).await;
@@ -139,7 +142,6 @@
         !site.store.names("quarantined-requests").is_empty()
     })
     .await;
-    let crashes_before = crash_arrivals(&site);
     site.register(drained, "draining");
     site.store.write(
         "evacuations",
@@ -191,7 +193,7 @@
     }
     counts.to_drained = arrivals_at(&site, drained) - drained_before;
     counts.to_evacuated = count_evacuated(&site) - evacuated_before;
-    counts.crash_arrivals = crash_arrivals(&site) - crashes_before;
+    counts.crash_arrivals = crash_arrivals(&site).saturating_sub(CRASHES);
     // The writers of the lost objects write them again.
     site.register(drained, "draining");
     for index in 0..site.servers.len() {
