--- a/src/platform/standin/endpoint.rs
+++ b/src/platform/standin/endpoint.rs
@@ -22,6 +22,9 @@
 /// Maximum size of a request body
 const MAX_BODY_BYTES: usize = 80 << 20;
 
+/// Longest time that is recorded of those that the endpoint states
+const MAX_WISH: Duration = Duration::from_secs(3600);
+
 /// Part of a target that crashes the endpoint
 pub const CRASH_MARKER: &str = "crash";
 
@@ -40,6 +43,10 @@
     pub slowdown_factor: u32,
     /// Whether a crash leaves connections open without answers instead of closing them
     pub silent_crash: bool,
+    /// Whether all answers state that the endpoint leaves
+    pub leaving: bool,
+    /// Text of the `Retry-After` header with which all requests are turned away
+    pub retry_after: Option<&'static str>,
 }
 
 /// Fixed properties of an endpoint
@@ -72,6 +79,8 @@
     run_starts: BTreeMap<String, Vec<Instant>>,
     /// Attempts that crashed the endpoint, and when
     crashes: Vec<(String, Instant)>,
+    /// Attempts that were turned away with a valid `Retry-After`, when, and that time
+    wishes: Vec<(String, Instant, Duration)>,
     body_bytes: BTreeMap<String, usize>,
 }
 
@@ -171,6 +180,11 @@
         lock(&self.state).crashes.clone()
     }
 
+    /// Returns the attempts that were turned away for a stated time, when, and that time
+    pub fn wishes(&self) -> Vec<(String, Instant, Duration)> {
+        lock(&self.state).wishes.clone()
+    }
+
     /// Returns the body size of an executed request
     pub fn request_body_bytes(&self, attempt_id: &str) -> Option<usize> {
         lock(&self.state).body_bytes.get(attempt_id).copied()
@@ -193,9 +207,12 @@
                 None
             };
             // Endpoints cancel a request when its connection closes.
-            let Some(Some(bytes)) = response.or(closed).await else {
+            let Some(Some(mut bytes)) = response.or(closed).await else {
                 return;
             };
+            if lock(&self.state).faults.leaving {
+                insert_header(&mut bytes, "Server-Leaving: 1\r\n");
+            }
             let deadline = Instant::now() + Duration::from_secs(10);
             let is_complete = bytes.ends_with(BODY_END);
             if connection.write(&bytes, deadline).await.is_err() || !is_complete {
@@ -227,6 +244,20 @@
             .entry(attempt_id.clone())
             .or_default()
             .push(Instant::now());
+        let retry_after = lock(&self.state).faults.retry_after;
+        if let Some(text) = retry_after {
+            let pause = text
+                .parse()
+                .ok()
+                .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+            if let Some(pause) = pause {
+                let wish = (attempt_id.clone(), Instant::now(), pause.min(MAX_WISH));
+                lock(&self.state).wishes.push(wish);
+            }
+            let headers =
+                format!("Attempt-Id: {attempt_id}\r\nNot-Executed: 1\r\nRetry-After: {text}\r\n");
+            return Some(encode_response(503, &headers, b""));
+        }
         if !self.acquire_slot().await {
             return Some(encode_response(503, "Not-Executed: 1\r\n", b""));
         }
@@ -331,6 +362,14 @@
     body
 }
 
+/// Inserts a header line after the status line of a response
+fn insert_header(bytes: &mut Vec<u8>, line: &str) {
+    let end = bytes.windows(2).position(|pair| pair == b"\r\n");
+    if let Some(end) = end {
+        bytes.splice(end + 2..end + 2, line.bytes());
+    }
+}
+
 fn encode_response(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
     let body = if body.is_empty() { BODY_END } else { body };
     let head = format!(
