Heed endpoints that say they leave, or that ask for no requests for a while

Cause: the headers Server-Leaving and Retry-After of endpoints were not read. Change: gateway::advice reads what answers and health checks state. Both are checked again between connecting and sending. If all that could serve a request pause, it is refused at once with the shortest pause.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -95,6 +95,8 @@
     /// Endpoints whose entries lapsed, and until when they stay usable
     lapsed_until: BTreeMap<EndpointId, Instant>,
     cold_until: BTreeMap<EndpointId, Instant>,
+    /// Endpoints whose answers state that they leave: the run, and the time of the first answer
+    leaving: BTreeMap<EndpointId, (EndpointRun, Instant)>,
     evacuated_zones: BTreeSet<CompactString>,
     grace_period_end: Option<Instant>,
     /// How long endpoints serve after the store removed their entries
@@ -333,6 +335,13 @@
         }
     }
 
+    /// Marks an endpoint as cold for at least this time
+    pub fn extend_cold(&mut self, now: Instant, id: &EndpointId, remaining: Duration) {
+        let known = self.cold_until.get(id).copied();
+        let known = known.map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+        self.mark_cold(now, id, remaining.max(known));
+    }
+
     /// Whether an endpoint is still warming up
     pub fn is_cold(&self, now: Instant, id: &EndpointId) -> bool {
         self.cold_until.get(id).is_some_and(|until| now < *until)
@@ -343,11 +352,62 @@
         self.endpoints.get(id)
     }
 
+    /// Marks an endpoint whose answer states that it leaves; returns whether that was not known
+    ///
+    /// The mark binds this run only and is dropped with its entry.
+    pub fn mark_leaving(&mut self, now: Instant, endpoint: &Endpoint) -> bool {
+        let is_listed = self
+            .endpoints
+            .get(&endpoint.id)
+            .is_some_and(|listed| listed.run() == endpoint.run());
+        if !is_listed || self.is_leaving(endpoint) {
+            return false;
+        }
+        let mark = (endpoint.run(), now);
+        self.leaving.insert(endpoint.id.clone(), mark);
+        true
+    }
+
+    /// Returns whether an answer of this run of the endpoint stated that it leaves
+    pub fn is_leaving(&self, endpoint: &Endpoint) -> bool {
+        let mark = self.leaving.get(&endpoint.id);
+        mark.is_some_and(|(run, _)| *run == endpoint.run())
+    }
+
+    /// Returns the number of endpoints whose answers state that they leave
+    pub fn leaving_count(&self) -> usize {
+        self.leaving.len()
+    }
+
     /// Returns the endpoints of a service that accept new requests
-    pub fn usable<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Endpoint> {
+    ///
+    /// If all that are left said that they leave, these are used for a part of the drain time.
+    pub fn usable<'a>(
+        &'a self,
+        now: Instant,
+        service: &str,
+    ) -> impl Iterator<Item = &'a Endpoint> + use<'a> {
         let ids = self.services.get(service).into_iter().flatten();
-        ids.filter_map(|id| self.endpoints.get(id))
-            .filter(|endpoint| !endpoint.draining && !self.evacuated_zones.contains(&endpoint.zone))
+        let accepting = ids
+            .filter_map(|id| self.endpoints.get(id))
+            .filter(|endpoint| {
+                !endpoint.draining && !self.evacuated_zones.contains(&endpoint.zone)
+            });
+        let has_staying = accepting.clone().any(|endpoint| !self.is_leaving(endpoint));
+        accepting.filter(move |endpoint| match has_staying {
+            true => !self.is_leaving(endpoint),
+            false => self.may_use_leaving(now, endpoint),
+        })
+    }
+
+    /// Returns whether an endpoint may get requests if no other one is left; one that leaves may for a
+    /// part of the drain time
+    pub fn may_use_leaving(&self, now: Instant, endpoint: &Endpoint) -> bool {
+        let serve_time = self.drain_time.mul_f64(DRAIN_RATIO);
+        match self.leaving.get(&endpoint.id) {
+            Some((run, since)) if *run == endpoint.run() => now < *since + serve_time,
+            _ => true,
+        }
     }
 
     /// Returns whether a later run is registered at the address of an endpoint, which has then ended
@@ -376,6 +436,7 @@
     fn remove_endpoint(&mut self, now: Instant, id: &EndpointId) {
         self.lapsed_until.remove(id);
         self.cold_until.remove(id);
+        self.leaving.remove(id);
         let Some(removed) = self.endpoints.remove(id) else {
             return;
         };
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -21,7 +21,7 @@
 
 fn usable_ids(catalog: &Catalog) -> Vec<&str> {
     catalog
-        .usable("s")
+        .usable(Instant::now(), "s")
         .map(|endpoint| endpoint.id.as_str())
         .collect()
 }
@@ -366,3 +366,30 @@
     let expired = catalog.expire(now + LAPSE_GRACE_PERIOD);
     assert_eq!(expired, ["a"]);
 }
+
+#[test]
+fn endpoint_that_says_it_leaves_is_used_only_if_no_other_is_left() {
+    let serve_time = DRAIN_TIME.mul_f64(DRAIN_RATIO);
+    let now = Instant::now();
+    let mut catalog = Catalog::with_drain_time(DRAIN_TIME);
+    catalog.put(now, endpoint("a"));
+    catalog.put(now, endpoint("b"));
+    assert!(catalog.mark_leaving(now, &endpoint("a")));
+    assert!(!catalog.mark_leaving(now, &endpoint("a")), "it is known");
+    let usable = |catalog: &Catalog, now| -> Vec<EndpointId> {
+        let usable = catalog.usable(now, "s");
+        usable.map(|endpoint| endpoint.id.clone()).collect()
+    };
+    assert_eq!(usable(&catalog, now), ["b"]);
+    catalog.mark_leaving(now, &endpoint("b"));
+    assert_eq!(usable(&catalog, now), ["a", "b"], "all leave");
+    assert!(usable(&catalog, now + serve_time).is_empty());
+    let next_run = Endpoint {
+        start_unix_millis: Some(2),
+        ..endpoint("a")
+    };
+    let is_marked = catalog.mark_leaving(now, &next_run);
+    assert!(!is_marked, "the run is not listed");
+    catalog.put(now, next_run);
+    assert_eq!(usable(&catalog, now + serve_time), ["a"], "the next run");
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -11,8 +11,8 @@
 use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
 
-use super::Gateway;
 use super::upload::{SendError, Upload};
+use super::{Gateway, advice};
 use crate::catalog::Endpoint;
 use crate::id::RouteId;
 use crate::message::{self, Connection, Length, Request, Response, timeout};
@@ -47,6 +47,8 @@
 pub enum Failure {
     /// no connection: {0}
     NotSent(String),
+    /// endpoint asked for no requests
+    Withheld,
     /// endpoint is full
     Shed,
     /// another endpoint has the address
@@ -66,7 +68,10 @@
 impl Failure {
     /// Returns whether the endpoint certainly did not run the request
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Shed | Self::Misdirected)
+        matches!(
+            self,
+            Self::NotSent(_) | Self::Withheld | Self::Shed | Self::Misdirected
+        )
     }
 }
 
@@ -199,7 +204,7 @@
         Failure::Shed => Outcome::Shed,
         Failure::Misdirected => Outcome::Misdirected,
         Failure::TimedOut | Failure::Abandoned => Outcome::Failed,
-        Failure::CallerAborted(_) => Outcome::Cancelled,
+        Failure::Withheld | Failure::CallerAborted(_) => Outcome::Cancelled,
     }
 }
 
@@ -293,6 +298,15 @@
         }
     })?;
     gateway.metrics.count_connection();
+    // The answer to another request may have come meanwhile.
+    if !advice::may_send(gateway, &in_flight.endpoint) {
+        let mut idle_connections = gateway.idle_connections.borrow_mut();
+        idle_connections.put(Instant::now(), address, connection, None);
+        return Err(match broken {
+            Some(cause) => Failure::Broken(cause),
+            None => Failure::Withheld,
+        });
+    }
     send(connection, in_flight, request, upload, limits).await
 }
 
@@ -367,7 +381,7 @@
     limits: Limits,
 ) -> Result<EndpointAnswer, Failure> {
     head.keep_alive &= uploaded;
-    record_load(gateway, &in_flight, &head);
+    advice::heed(gateway, &in_flight.endpoint, &head);
     let mut length = head.length;
     let deadline = limits.deadline.max(Instant::now()) + BODY_TIMEOUT;
     let mut body = Vec::new();
@@ -427,19 +441,6 @@
     header::is_not_executed(head).then_some(Failure::Shed)
 }
 
-/// Records the load and warm-up that an answer reports
-fn record_load(gateway: &Gateway, in_flight: &InFlight, head: &Response) {
-    let now = Instant::now();
-    let id = &in_flight.endpoint.id;
-    if let Some((running, waiting)) = header::server_load(&head.headers) {
-        let mut pool = gateway.pool.borrow_mut();
-        pool.record_load(now, id, running.saturating_sub(1), waiting);
-    }
-    if let Some(warmup_left) = header::warmup_remaining(&head.headers) {
-        gateway.catalog.borrow_mut().mark_cold(now, id, warmup_left);
-    }
-}
-
 fn keep_connection(
     gateway: &Gateway,
     in_flight: &InFlight,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -165,7 +165,10 @@
             let Some((endpoint, choice)) = self.choose_endpoint(now) else {
                 return match last_failure {
                     Some(failure) => self.give_up(failure),
-                    None => self.refuse("no endpoint", Duration::from_millis(400)),
+                    None => match self.shortest_pause(now) {
+                        Some(pause) => self.refuse_paused(pause),
+                        None => self.refuse("no endpoint", Duration::from_millis(400)),
+                    },
                 };
             };
             if self.tried_endpoints.is_empty() && now + choice.expected_time >= self.deadline {
@@ -232,7 +235,7 @@
             .excluded_runs(&gateway.quarantine.borrow());
         let allowed = &self.route.allowed_regions;
         let mut regions: BTreeMap<&RegionId, Vec<&Endpoint>> = BTreeMap::new();
-        for endpoint in catalog.usable(&self.service) {
+        for endpoint in catalog.usable(now, &self.service) {
             let is_allowed = allowed.is_empty() || allowed.contains(&endpoint.region);
             let is_excluded = !excluded_runs.is_empty() && excluded_runs.contains(&endpoint.run());
             if is_allowed
@@ -416,7 +419,10 @@
         }
         // A request that was never sent adds no load to an endpoint, so it needs no budget; an
         // abandoned attempt has already consumed it.
-        if matches!(failure, Failure::NotSent(_) | Failure::Abandoned) {
+        if matches!(
+            failure,
+            Failure::NotSent(_) | Failure::Withheld | Failure::Abandoned
+        ) {
             return true;
         }
         self.gateway.allow_retry(now, &self.service)
@@ -426,6 +432,9 @@
         let may_have_run =
             self.may_have_run || matches!(failure, Failure::TimedOut if self.run_attempts > 0);
         if !may_have_run || (self.is_idempotent() && failure.is_not_run()) {
+            if let Some(pause) = self.shortest_pause(Instant::now()) {
+                return self.refuse_paused(pause);
+            }
             let retry_after = self.usual_duration(ServiceTime::mean);
             return self.refuse("endpoints did not run it", retry_after);
         }
@@ -437,6 +446,25 @@
         Reply::Local(Refusal::new(status, "unknown whether it ran"))
     }
 
+    /// Returns the shortest pause of the endpoints that could serve the request, if all of them pause
+    fn shortest_pause(&self, now: Instant) -> Option<Duration> {
+        let catalog = self.gateway.catalog.borrow();
+        let pool = self.gateway.pool.borrow();
+        let allowed = &self.route.allowed_regions;
+        let pauses: Option<Vec<Duration>> = catalog
+            .usable(now, &self.service)
+            .filter(|endpoint| allowed.is_empty() || allowed.contains(&endpoint.region))
+            .map(|endpoint| pool.pause_remaining(now, &endpoint.id))
+            .collect();
+        pauses?.into_iter().min()
+    }
+
+    fn refuse_paused(&mut self, pause: Duration) -> Reply {
+        let reason = "endpoints asked for no requests";
+        self.record_result(reason, 503);
+        Reply::Local(Refusal::not_before(reason, pause))
+    }
+
     fn refuse(&mut self, reason: &'static str, wait: Duration) -> Reply {
         self.record_result(reason, 503);
         Reply::Local(Refusal::not_run(reason, wait))
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -159,6 +159,10 @@
         ("store_era", gateway.mirror.borrow().era()),
         ("held_objects", gateway.holdover.borrow().len() as u64),
         ("endpoints", gateway.catalog.borrow().len() as u64),
+        (
+            "leaving_endpoints",
+            gateway.catalog.borrow().leaving_count() as u64,
+        ),
         ("hosts", gateway.fleet.borrow().size() as u64),
         (
             "store_dark",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 use crate::retry::WindowBudget;
 
 mod accept;
+mod advice;
 mod cold;
 mod era;
 mod exchange;
@@ -427,7 +428,7 @@
         let mut loads: BTreeMap<RegionId, Load> = BTreeMap::new();
         let catalog = self.catalog.borrow();
         let pool = self.pool.borrow();
-        for endpoint in catalog.usable(service) {
+        for endpoint in catalog.usable(now, service) {
             let is_ejected = pool
                 .endpoint(&endpoint.id)
                 .is_some_and(|endpoint_state| endpoint_state.is_ejected(now));
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -8,7 +8,7 @@
 
 use smol::Timer;
 
-use super::Gateway;
+use super::{Gateway, advice};
 use crate::catalog::Endpoint;
 use crate::message::{Connection, timeout};
 use crate::platform::header;
@@ -86,11 +86,8 @@
         return false;
     };
     let is_same_endpoint = header::instance_id(&answer.headers).is_none_or(|id| id == endpoint.id);
-    if let Some(warmup_left) =
-        header::warmup_remaining(&answer.headers).filter(|_| is_same_endpoint)
-    {
-        let mut catalog = gateway.catalog.borrow_mut();
-        catalog.mark_cold(Instant::now(), &endpoint.id, warmup_left);
+    if is_same_endpoint {
+        advice::heed(gateway, endpoint, &answer);
     }
     // An endpoint at capacity rejects checks like requests, but is alive.
     is_same_endpoint && (answer.status == 200 || header::is_not_executed(&answer))
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -21,6 +21,10 @@
 /// Maximum `Retry-After` before jitter
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Part of a time that endpoints asked for by which `Retry-After` exceeds it at random, so that callers
+/// do not return together
+const PAUSE_JITTER_RATIO: f64 = 0.25;
+
 /// Answer to a caller
 #[derive(Debug)]
 pub enum Reply {
@@ -66,6 +70,16 @@
         }
     }
 
+    /// Creates an answer for a request that did not run and cannot be served before `wait` has passed
+    pub fn not_before(reason: &'static str, wait: Duration) -> Self {
+        Self {
+            status: 503,
+            reason,
+            retry_after: Some(wait.mul_f64(1.0 + PAUSE_JITTER_RATIO * fastrand::f64())),
+            quarantine_key: None,
+        }
+    }
+
     /// Creates an answer for a request that is refused because it made endpoints fail
     pub fn quarantined(key: quarantine::Key, time_left: Duration) -> Self {
         Self {
--- a/src/placement/endpoint.rs
+++ b/src/placement/endpoint.rs
@@ -52,6 +52,10 @@
     ejections: u32,
     ejected_until: Option<Instant>,
     on_trial: bool,
+    /// End of the time for which the endpoint asked for no requests
+    paused_until: Option<Instant>,
+    /// Whether no request was served since that time; until then, one request is sent at a time
+    is_returning: bool,
     failure_rate: f64,
     failure_rate_updated_at: Option<Instant>,
     /// Slowdown beyond the usual service time, as a ratio
@@ -77,6 +81,9 @@
 
     /// Whether the endpoint may get new requests
     pub fn is_available(&self, now: Instant) -> bool {
+        if self.pause_remaining(now).is_some() || (self.is_returning && !self.running.is_empty()) {
+            return false;
+        }
         match self.ejected_until {
             Some(until) => now >= until && (!self.on_trial || self.running.is_empty()),
             None => true,
@@ -88,6 +95,18 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Records that the endpoint asked for no requests until a time
+    pub fn pause(&mut self, until: Instant) {
+        self.paused_until = self.paused_until.max(Some(until));
+        self.is_returning = true;
+    }
+
+    /// Returns the rest of the time for which the endpoint asked for no requests
+    pub fn pause_remaining(&self, now: Instant) -> Option<Duration> {
+        let remaining = self.paused_until?.saturating_duration_since(now);
+        (!remaining.is_zero()).then_some(remaining)
+    }
+
     /// Records that a request was sent
     pub fn start(&mut self, now: Instant) {
         if self.ejected_until.is_some() {
@@ -104,6 +123,7 @@
         let failure = match outcome {
             Outcome::Cancelled | Outcome::Misdirected => return,
             Outcome::Served(_) => {
+                self.is_returning = self.pause_remaining(now).is_some();
                 self.consecutive_failures = 0;
                 self.ejections = 0;
                 self.ejected_until = None;
@@ -135,7 +155,9 @@
     /// Whether a health check is due; if so, marks the endpoint as being checked
     pub fn begin_probe(&mut self, now: Instant) -> bool {
         match self.ejected_until {
-            Some(until) if now >= until && !self.on_trial => {
+            Some(until)
+                if now >= until && !self.on_trial && self.pause_remaining(now).is_none() =>
+            {
                 self.on_trial = true;
                 true
             }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -214,6 +214,16 @@
         self.endpoints.entry(id.clone()).or_default().eject(now);
     }
 
+    /// Records that an endpoint asked for no requests until a time
+    pub fn pause(&mut self, id: &EndpointId, until: Instant) {
+        self.endpoints.entry(id.clone()).or_default().pause(until);
+    }
+
+    /// Returns the rest of the time for which an endpoint asked for no requests
+    pub fn pause_remaining(&self, now: Instant, id: &EndpointId) -> Option<Duration> {
+        self.endpoint(id)?.pause_remaining(now)
+    }
+
     /// Returns the state of an endpoint, if it was used before
     pub fn endpoint(&self, id: &EndpointId) -> Option<&State> {
         self.endpoints.get(id)
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -246,3 +246,34 @@
         );
     }
 }
+
+#[test]
+fn endpoint_that_asks_for_time_returns_with_one_request_at_a_time() {
+    const PAUSE: Duration = Duration::from_secs(2);
+    let now = Instant::now();
+    let endpoints = endpoints(1);
+    let endpoint = &endpoints[0];
+    let mut pool = Pool::new();
+    pool.pause(&endpoint.id, now + PAUSE);
+    pool.pause(&endpoint.id, now + PAUSE / 2);
+    let choose = |pool: &Pool, now| pool.choose(now, &request(7, 1, &[]), endpoints.iter());
+    let just_before = now + PAUSE - Duration::from_millis(1);
+    assert_eq!(choose(&pool, just_before), None, "the longer time counts");
+    let end = now + PAUSE;
+    assert!(choose(&pool, end).is_some());
+    pool.start(end, &endpoint.id);
+    assert_eq!(choose(&pool, end), None, "the first request is running");
+    pool.finish(end, endpoint, &ROUTE, None, end, Outcome::Shed);
+    pool.start(end, &endpoint.id);
+    assert_eq!(choose(&pool, end), None, "none was served yet");
+    let served = Outcome::Served(Duration::from_millis(50));
+    pool.finish(end, endpoint, &ROUTE, None, end, served);
+    pool.start(end, &endpoint.id);
+    assert!(choose(&pool, end).is_some(), "one was served");
+    pool.pause(&endpoint.id, end + PAUSE);
+    pool.remove_endpoint(&endpoint.id);
+    assert!(
+        choose(&pool, end).is_some(),
+        "the next run asked for nothing"
+    );
+}
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -30,6 +30,12 @@
 /// Remaining warm-up time of an endpoint, in milliseconds
 const WARMUP_MILLIS: &str = "Warmup-Ms";
 
+/// Present on responses of an endpoint that leaves
+const SERVER_LEAVING: &str = "Server-Leaving";
+
+/// Time in seconds after which a request may be sent again
+const RETRY_AFTER: &str = "Retry-After";
+
 /// Name of the cookie with the affinity key of a request
 const AFFINITY_KEY: &str = "Affinity-Key";
 
@@ -61,7 +67,7 @@
         headers.push(ATTEMPT_ID, attempt_id);
     }
     if let Some(retry_after) = retry_after {
-        headers.push("Retry-After", format!("{:.3}", retry_after.as_secs_f64()));
+        headers.push(RETRY_AFTER, format!("{:.3}", retry_after.as_secs_f64()));
     }
 }
 
@@ -124,6 +130,29 @@
     response.status == 421
 }
 
+/// Returns whether the endpoint states that it leaves
+pub fn is_leaving(response: &Response) -> bool {
+    response.headers.get(SERVER_LEAVING) == Some("1") && !is_misdirected(response)
+}
+
+/// Returns how long an endpoint that turned a request away wants no further one
+///
+/// Fractions of seconds are allowed. The error is a text that states no such time, like a negative
+/// number or a date.
+pub fn requested_pause(response: &Response) -> Option<Result<Duration, &str>> {
+    let text = response.headers.get(RETRY_AFTER)?;
+    if response.status != 503 {
+        return None;
+    }
+    let seconds: f64 = match text.trim().parse() {
+        Ok(seconds) if seconds >= 0.0 => seconds,
+        _ => return Some(Err(text)),
+    };
+    Some(Ok(
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    ))
+}
+
 /// Returns whether the response carries the signature of an endpoint
 pub fn is_signed(response: &Response) -> bool {
     response.headers.get(SERVER_SIGNATURE).is_some()
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -311,3 +311,75 @@
         assert_eq!(header::caller_id(&headers), case.caller_id, "{}", case.name);
     }
 }
+
+#[test]
+fn endpoints_state_pauses_in_seconds() {
+    struct Case {
+        head: &'static str,
+        /// `None` if nothing is stated, an error if it is no time
+        pause: Option<Result<Duration, ()>>,
+    }
+    let seconds = |seconds| Some(Ok(Duration::from_secs_f64(seconds)));
+    let cases = [
+        Case {
+            head: "HTTP/1.1 503 X\r\nRetry-After: 2\r\n\r\n",
+            pause: seconds(2.0),
+        },
+        Case {
+            head: "HTTP/1.1 503 X\r\nRetry-After: 0.25\r\n\r\n",
+            pause: seconds(0.25),
+        },
+        Case {
+            head: "HTTP/1.1 503 X\r\nRetry-After: 1e300\r\n\r\n",
+            pause: Some(Ok(Duration::MAX)),
+        },
+        Case {
+            head: "HTTP/1.1 503 X\r\nRetry-After: inf\r\n\r\n",
+            pause: Some(Ok(Duration::MAX)),
+        },
+        Case {
+            head: "HTTP/1.1 503 X\r\nRetry-After: -1\r\n\r\n",
+            pause: Some(Err(())),
+        },
+        Case {
+            head: "HTTP/1.1 503 X\r\nRetry-After: NaN\r\n\r\n",
+            pause: Some(Err(())),
+        },
+        Case {
+            head: "HTTP/1.1 503 X\r\nRetry-After:\r\n\r\n",
+            pause: Some(Err(())),
+        },
+        Case {
+            head: "HTTP/1.1 503 X\r\nRetry-After: Fri, 04 Dec 2026 08:00:00 GMT\r\n\r\n",
+            pause: Some(Err(())),
+        },
+        Case {
+            head: "HTTP/1.1 503 X\r\n\r\n",
+            pause: None,
+        },
+        Case {
+            head: "HTTP/1.1 200 X\r\nRetry-After: 2\r\n\r\n",
+            pause: None,
+        },
+    ];
+    for case in cases {
+        let response = Response::parse(case.head.as_bytes(), "GET").expect("response is valid");
+        let pause = header::requested_pause(&response);
+        let pause = pause.map(|pause| pause.map_err(|_| ()));
+        assert_eq!(pause, case.pause, "{}", case.head);
+    }
+}
+
+#[test]
+fn only_the_endpoint_itself_states_that_it_leaves() {
+    for (head, is_leaving) in [
+        ("HTTP/1.1 200 X\r\nServer-Leaving: 1\r\n\r\n", true),
+        ("HTTP/1.1 503 X\r\nServer-Leaving: 1\r\n\r\n", true),
+        ("HTTP/1.1 421 X\r\nServer-Leaving: 1\r\n\r\n", false),
+        ("HTTP/1.1 200 X\r\nServer-Leaving: 0\r\n\r\n", false),
+        ("HTTP/1.1 200 X\r\n\r\n", false),
+    ] {
+        let response = Response::parse(head.as_bytes(), "GET").expect("response is valid");
+        assert_eq!(header::is_leaving(&response), is_leaving, "{head}");
+    }
+}
