Mend two findings that were read from the code: silence of a cut host, successes forgotten

Cause: (1) a host's own report counted as news of others, so a host that was cut off itself took all the hosts that it watches for silent. (2) A success that cleared crashes kept their age, so it was forgotten at once if the record had come with an age of more than ten minutes, and the store's record refused the request again. Change: Fleet::unresponsive_members skips the own report; Entry::clear_all starts the age anew. Attempts without an answer have a file of their own (quarantine::doubt).

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -293,7 +293,11 @@
             |host: &&HostId| now.saturating_duration_since(silent_since(host)) > PING_TIMEOUT;
         let silent: Vec<&HostId> = watched.iter().filter(is_silent).collect();
         let all_silent = silent.len() == watched.len() && watched.len() == WATCHED_SUCCESSORS;
-        let any_recent_report = self.last_heard.values().any(|at| now < *at + PING_TIMEOUT);
+        let mut others = self
+            .last_heard
+            .iter()
+            .filter(|(host, _)| **host != self.own);
+        let any_recent_report = others.any(|(_, at)| now < *at + PING_TIMEOUT);
         if all_silent && !any_recent_report {
             return Vec::new();
         }
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -81,6 +81,8 @@
         for host in watched.iter().skip(1).filter(|_| case.others_report) {
             fleet.record_report(after_timeout, &report(host));
         }
+        // The host counts its own demand like that of the others.
+        fleet.record_report(after_timeout, &report("h0"));
         if case.paused {
             fleet.restart_timeouts(after_timeout);
         }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::id::EndpointId;
 
+mod doubt;
 mod keys;
 mod register;
 
--- a/src/quarantine/register.rs
+++ b/src/quarantine/register.rs
@@ -10,12 +10,13 @@
 //! the third. A complete response clears the crashes known so far, and those that become known a
 //! moment later. That travels like other news and outlasts late news of these crashes.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use super::doubt::{Doubt, Doubts};
 use super::{CRASH_THRESHOLD, Key, Keys, MAX_KEYS};
 
 #[cfg(test)]
@@ -66,13 +67,6 @@
 /// Number of recent successes that are remembered
 const SUCCESS_SLOTS: usize = 8192;
 
-/// Time after an attempt without an answer during which a new run at the address of the endpoint shows
-/// that it crashed; crashed endpoints are back within seconds
-const DOUBT_TTL: Duration = Duration::from_secs(15);
-
-/// Maximum number of attempts without an answer that are remembered
-const MAX_DOUBTS: usize = 1024;
-
 /// Retry delay while a trial of the same request is running on this host
 const TRIAL_RETRY_DELAY: Duration = Duration::from_secs(1);
 
@@ -143,6 +137,8 @@
         if !self.clear(&crashed) {
             return false;
         }
+        // The success is remembered for as long as a crash at this moment would be.
+        self.age = Duration::ZERO;
         self.changed_at = now;
         self.source = Source::Own;
         true
@@ -174,21 +170,12 @@
     }
 }
 
-/// Attempt that got no answer, so that the endpoint may have crashed
-#[derive(Debug)]
-struct Doubt {
-    ended_at: Instant,
-    keys: Keys,
-    run: EndpointRun,
-    address: SocketAddr,
-}
-
 /// Requests that crashed endpoints, as one host knows them
 #[derive(Debug, Default)]
 pub struct Register {
     entries: BTreeMap<Key, Entry>,
-    /// Latest attempts without an answer, oldest first
-    doubts: VecDeque<Doubt>,
+    /// Latest attempts without an answer
+    doubts: Doubts,
     /// Recent successes, each in the slot of its key
     successes: Vec<Option<(Key, Instant)>>,
 }
@@ -225,10 +212,7 @@
         run: EndpointRun,
         address: SocketAddr,
     ) {
-        if self.doubts.len() >= MAX_DOUBTS {
-            self.doubts.pop_front();
-        }
-        self.doubts.push_back(Doubt {
+        self.doubts.record(Doubt {
             ended_at: now,
             keys,
             run,
@@ -244,15 +228,8 @@
         run: EndpointRun,
         address: SocketAddr,
     ) -> Vec<Keys> {
-        let is_recent = |doubt: &Doubt| now < doubt.ended_at + DOUBT_TTL;
-        let is_resolved = |doubt: &Doubt| doubt.address == address && doubt.run != run;
-        let doubts = std::mem::take(&mut self.doubts);
-        let (resolved, open): (VecDeque<Doubt>, _) =
-            doubts.into_iter().filter(is_recent).partition(is_resolved);
-        self.doubts = open;
-        let crashed = resolved
-            .into_iter()
-            .filter(|doubt| doubt.keys.record_crash(self, now, doubt.run) > 0);
+        let resolved = self.doubts.resolve(now, run, address).into_iter();
+        let crashed = resolved.filter(|doubt| doubt.keys.record_crash(self, now, doubt.run) > 0);
         crashed.map(|doubt| doubt.keys).collect()
     }
 
--- a/src/quarantine/register/tests.rs
+++ b/src/quarantine/register/tests.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::*;
+use crate::quarantine::doubt::DOUBT_TTL;
 
 const KEY: Key = 7;
 
@@ -196,6 +197,23 @@
     assert!(register.entries.is_empty());
 }
 
+/// Guards against a record in the store that comes back as a refusal, since the success after it was
+/// forgotten
+#[test]
+fn success_long_after_the_last_crash_is_remembered() {
+    let succeeded_at = Instant::now();
+    let mut register = Register::new();
+    let stored = record(&[1, 2], 2 * SUSPECT_TTL);
+    register.merge(succeeded_at, KEY, &stored, Source::Store, Duration::ZERO);
+    assert!(register.record_success(succeeded_at, KEY));
+    let later = succeeded_at + 2 * SUCCESS_TTL;
+    register.expire(later);
+    register.merge(later, KEY, &stored, Source::Store, Duration::ZERO);
+    assert_eq!(register.crash_count(KEY), 0);
+    register.expire(succeeded_at + SUSPECT_TTL);
+    assert!(register.entries.is_empty(), "it is remembered for ever");
+}
+
 #[test]
 fn register_is_bounded_and_keeps_the_requests_with_most_crashes() {
     let now = Instant::now();
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -11,6 +11,7 @@
 pub mod proxy;
 pub mod repeat;
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::Stdio;
@@ -76,6 +77,8 @@
     pub gateways: Vec<Gateway>,
     pub servers: Vec<Server>,
     pub version: u64,
+    /// Last content of each object that the operator and the endpoints wrote, by kind and name
+    written: BTreeMap<(&'static str, String), serde_json::Value>,
     /// Endpoints that ended and whose addresses others have now
     pub former_endpoints: Vec<Endpoint>,
     /// Number of retries that the whole fleet may always make
@@ -128,6 +131,7 @@
             gateways: Vec::new(),
             servers: Vec::new(),
             version: 0,
+            written: BTreeMap::new(),
             former_endpoints: Vec::new(),
             retry_slack,
             capacity,
@@ -185,7 +189,7 @@
             }},
             "limits": {"header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         });
-        self.store.write("config", "main", spec);
+        self.write("config", "main", spec);
     }
 
     /// Starts an endpoint and registers it
@@ -220,8 +224,9 @@
         let entry = server
             .endpoint
             .store_spec(SERVICE, server.region, server.proxy.address, state);
-        self.store.write("servers", server.endpoint.id(), entry);
         server.draining_since = (state == "draining").then(Instant::now);
+        let id = server.endpoint.id().to_owned();
+        self.write("servers", &id, entry);
     }
 
     /// Writes an endpoint's entry with its own address, so that requests bypass the proxy
@@ -232,7 +237,20 @@
         let entry = server
             .endpoint
             .store_spec(SERVICE, server.region, server.address, "ready");
-        self.store.write("servers", server.endpoint.id(), entry);
+        let id = server.endpoint.id().to_owned();
+        self.write("servers", &id, entry);
+    }
+
+    fn write(&mut self, kind: &'static str, name: &str, spec: serde_json::Value) {
+        self.store.write(kind, name, spec.clone());
+        self.written.insert((kind, name.to_owned()), spec);
+    }
+
+    /// Writes again what the operator and the endpoints wrote, after the store lost it
+    pub fn write_again(&self) {
+        for ((kind, name), spec) in &self.written {
+            self.store.write(kind, name, spec.clone());
+        }
     }
 
     /// Starts an endpoint again that a request crashed; it is not registered yet
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -22,6 +22,9 @@
 /// 213: a host that registered again was deregistered again at once, in an endless loop.
 const REGRESSION_SEEDS: [u64; 1] = [213];
 
+/// Time after the restore of the store until its writers have written again what it lost
+const RESTORE_DELAY: Duration = Duration::from_millis(700);
+
 /// Time after which a draining endpoint receives no more requests, as the platform requires
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -42,9 +45,20 @@
     ServerCrash,
     Drain,
     Configure,
+    /// The store comes back from a copy that is older by the duration of the fault
+    StoreRestores,
+    ServerLeaves,
+    ServerAsksForTime,
 }
 
-const FAULTS: [Fault; 20] = [
+/// Number of the first faults below of which seeds under [`FIRST_NEW_SEED`] choose, so that their
+/// schedules stay the same
+const OLD_FAULTS: usize = 20;
+
+/// Seed from which all faults are chosen
+const FIRST_NEW_SEED: u64 = 1000;
+
+const FAULTS: [Fault; 23] = [
     Fault::Terminate,
     Fault::Kill,
     Fault::Pause,
@@ -65,6 +79,9 @@
     Fault::ServerCrash,
     Fault::Drain,
     Fault::Configure,
+    Fault::StoreRestores,
+    Fault::ServerLeaves,
+    Fault::ServerAsksForTime,
 ];
 
 /// Action that ends a fault
@@ -75,6 +92,9 @@
     RestoreServerLink(usize),
     RestoreServer(usize),
     RestoreStore,
+    RestoreCopy(store::Copy),
+    /// Starts a new run of an endpoint
+    RestartServer(usize),
     EndDrain(usize),
 }
 
@@ -153,6 +173,21 @@
             site.register(server, "draining");
             Some(Recovery::EndDrain(server))
         }
+        Fault::StoreRestores => Some(Recovery::RestoreCopy(site.store.copy())),
+        Fault::ServerLeaves => {
+            site.servers[server].endpoint.set_faults(endpoint::Faults {
+                leaving: true,
+                ..endpoint::Faults::default()
+            });
+            Some(Recovery::RestartServer(server))
+        }
+        Fault::ServerAsksForTime => {
+            site.servers[server].endpoint.set_faults(endpoint::Faults {
+                retry_after: Some("0.8"),
+                ..endpoint::Faults::default()
+            });
+            Some(Recovery::RestoreServer(server))
+        }
         Fault::Configure => {
             site.configure(&["/safe/", "/once/", &format!("/v{}/", site.version + 1)]);
             None
@@ -188,6 +223,21 @@
                 server.task = start_result.ok().map(|(_, task)| task);
             }
         }
+        Recovery::RestoreCopy(copy) => {
+            site.store.restore(&copy);
+            // Some writers are back at once, others after a while.
+            Timer::after(RESTORE_DELAY).await;
+            site.write_again();
+        }
+        Recovery::RestartServer(index) => {
+            let server = &mut site.servers[index];
+            server.endpoint.set_faults(endpoint::Faults::default());
+            // Requests in flight break, as at the end of its process.
+            site.restart_server(index).await;
+            if site.servers[index].draining_since.is_none() {
+                site.register(index, "ready");
+            }
+        }
         Recovery::RestoreStore => site.store.set_faults(store::Faults::default()),
         Recovery::EndDrain(server) => site.register(server, "ready"),
     }
@@ -229,7 +279,11 @@
             recover(&mut site, recovery).await;
         }
         if active_faults.len() < 3 {
-            let fault = FAULTS[rng.usize(..FAULTS.len())];
+            let faults = match seed < FIRST_NEW_SEED {
+                true => &FAULTS[..OLD_FAULTS],
+                false => &FAULTS[..],
+            };
+            let fault = faults[rng.usize(..faults.len())];
             let fault_duration = Duration::from_millis(rng.u64(300..3500));
             schedule.push(fault);
             if let Some(recovery) = inject_fault(&mut site, fault, &mut rng).await {
@@ -342,7 +396,8 @@
         0 => fastrand::u64(1..1 << 40),
         first => first,
     };
-    for seed in REGRESSION_SEEDS.into_iter().chain(first..first + count) {
+    let always = REGRESSION_SEEDS.into_iter().chain([FIRST_NEW_SEED]);
+    for seed in always.chain(first..first + count) {
         smol::block_on(run_seed(seed, seconds));
     }
 }
