Drop the warm-up state of a previous run, and ask for lost objects only at a start

Cause: an endpoint that asked for a long time and started again was taken for cold until the end of that time, so only two hosts used it. A running host whose store began to state its era asked others before it used the next configuration, and checked for it 20 times a second. Change: Catalog::put drops the warm-up state with a new run; era::may_configure holds only for hosts without a configuration, and a running host checks twice a second.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -228,16 +228,10 @@
     pub fn put(&mut self, now: Instant, endpoint: Endpoint) -> Change {
         let id = endpoint.id.clone();
         self.lapsed_until.remove(&id);
-        if endpoint.warmup_remaining > Duration::ZERO {
-            self.cold_until
-                .insert(id.clone(), now + endpoint.warmup_remaining);
-        }
+        let warm_at = now + endpoint.warmup_remaining;
         let known = self.endpoints.get(&id);
         let change = match known {
-            Some(known) if known.is_same_entry(&endpoint) => {
-                self.endpoints.insert(id, endpoint);
-                return Change::Unchanged;
-            }
+            Some(known) if known.is_same_entry(&endpoint) => Change::Unchanged,
             Some(known)
                 if known.start_unix_millis == endpoint.start_unix_millis
                     && known.address == endpoint.address =>
@@ -246,6 +240,13 @@
             }
             _ => Change::Started,
         };
+        if change == Change::Started {
+            // What is known of the previous run does not hold for this one.
+            self.cold_until.remove(&id);
+        }
+        if warm_at > now {
+            self.cold_until.insert(id.clone(), warm_at);
+        }
         if let Some(known) = known.filter(|known| known.service != endpoint.service)
             && let Some(ids) = self.services.get_mut(&known.service)
         {
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -393,3 +393,22 @@
     catalog.put(now, next_run);
     assert_eq!(usable(&catalog, now + serve_time), ["a"], "the next run");
 }
+
+#[test]
+fn next_run_of_an_endpoint_is_as_cold_as_its_entry_states() {
+    let now = Instant::now();
+    let run = |start, warmup_remaining| Endpoint {
+        start_unix_millis: Some(start),
+        warmup_remaining,
+        ..endpoint("a")
+    };
+    let mut catalog = Catalog::with_drain_time(DRAIN_TIME);
+    catalog.put(now, run(1, Duration::ZERO));
+    catalog.extend_cold(now, &"a".into(), Duration::from_secs(3600));
+    catalog.put(now, run(1, Duration::ZERO));
+    assert!(catalog.is_cold(now, &"a".into()), "the same run");
+    catalog.put(now, run(2, Duration::ZERO));
+    assert!(!catalog.is_cold(now, &"a".into()), "the next run");
+    catalog.put(now, run(3, Duration::from_secs(4)));
+    assert!(catalog.is_cold(now, &"a".into()), "a run that warms up");
+}
--- a/src/gateway/era.rs
+++ b/src/gateway/era.rs
@@ -25,8 +25,11 @@
 /// Timeout of such a request
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Interval at which the state of this module is checked
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which a host that starts checks whether the store was read
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(30);
+
+/// Interval at which a running host checks whether the time after a restore is over
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Maximum length of a response of another host, in bytes
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -67,16 +70,22 @@
     gateway.holdover.borrow_mut().release_changed(kind, event);
 }
 
-/// Returns whether a configuration of the store may be used: a starting host first asks others for a
-/// newer one
+/// Returns whether a configuration of the store may be used: a host that starts first asks others for
+/// a newer one
 pub fn may_configure(gateway: &Gateway) -> bool {
-    gateway.mirror.borrow().era() == 0 || gateway.knows_holdover.get()
+    let is_starting = gateway.configuration.borrow().is_none();
+    !is_starting || gateway.mirror.borrow().era() == 0 || gateway.knows_holdover.get()
 }
 
 /// Asks other hosts at the start, and gives up what is held for too long, forever
 pub async fn maintain(gateway: Rc<Gateway>) {
     loop {
-        Timer::after(CHECK_INTERVAL).await;
+        let is_starting = gateway.configuration.borrow().is_none();
+        Timer::after(match is_starting {
+            true => START_CHECK_INTERVAL,
+            false => CHECK_INTERVAL,
+        })
+        .await;
         let was_read = gateway.mirror.borrow().was_read(Kind::Configuration);
         if was_read && !may_configure(&gateway) {
             ask_hosts(&gateway).await;
