--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -413,9 +413,12 @@
 
     /// Returns whether a later run is registered at the address of an endpoint, which has then ended
     pub fn has_successor(&self, endpoint: &Endpoint) -> bool {
+        let Some(start) = endpoint.start_unix_millis else {
+            return false;
+        };
         self.endpoints.values().any(|other| {
             other.address == endpoint.address
-                && other.start_unix_millis > endpoint.start_unix_millis
+                && other.start_unix_millis.is_some_and(|other| other > start)
         })
     }
 
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -269,6 +269,8 @@
         );
         let has_successor = catalog.has_successor(&run("a", 80, Some(1)));
         assert_eq!(has_successor, case.is_successor, "{}", case.name);
+        let of_unknown_start = catalog.has_successor(&run("a", 80, None));
+        assert!(!of_unknown_start, "{}", case.name);
     }
 }
 
--- a/tests/endpoints.rs
+++ b/tests/endpoints.rs
@@ -240,7 +240,7 @@
             ..case
         },
     ];
-    play_all(cases.into_iter().map(play_leaving));
+    site::play_all(cases.into_iter().map(play_leaving));
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -387,17 +387,5 @@
             ..case
         },
     ];
-    play_all(cases.into_iter().map(play_pause));
-}
-
-/// Plays cases side by side; panics with what broke
-fn play_all(plays: impl Iterator<Item = impl Future<Output = Vec<String>> + Send + 'static>) {
-    let plays: Vec<_> = plays
-        .map(|play| std::thread::spawn(move || smol::block_on(play)))
-        .collect();
-    let broken: Vec<String> = plays
-        .into_iter()
-        .flat_map(|play| play.join().expect("the deployment runs"))
-        .collect();
-    assert!(broken.is_empty(), "{}", broken.join("\n"));
+    site::play_all(cases.into_iter().map(play_pause));
 }
--- a/tests/era.rs
+++ b/tests/era.rs
@@ -302,13 +302,5 @@
             ..case
         },
     ];
-    let plays: Vec<_> = cases
-        .into_iter()
-        .map(|case| std::thread::spawn(move || smol::block_on(play(case))))
-        .collect();
-    let broken: Vec<String> = plays
-        .into_iter()
-        .flat_map(|play| play.join().expect("the deployment runs"))
-        .collect();
-    assert!(broken.is_empty(), "{}", broken.join("\n"));
+    site::play_all(cases.into_iter().map(play));
 }
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -402,6 +402,18 @@
     }
 }
 
+/// Plays deployments side by side; panics with what they report as broken
+pub fn play_all(plays: impl Iterator<Item = impl Future<Output = Vec<String>> + Send + 'static>) {
+    let plays: Vec<_> = plays
+        .map(|play| std::thread::spawn(move || smol::block_on(play)))
+        .collect();
+    let broken: Vec<String> = plays
+        .into_iter()
+        .flat_map(|play| play.join().expect("the deployment runs"))
+        .collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
 /// Polls until the condition holds; panics after [`WAIT_TIMEOUT`]
 pub async fn wait_until<F: Future<Output = bool>>(condition: &str, mut is_met: impl FnMut() -> F) {
     let deadline = Instant::now() + WAIT_TIMEOUT;
