--- a/src/gateway/tests/watch.rs
+++ b/src/gateway/tests/watch.rs
@@ -15,6 +15,7 @@
 use crate::gateway::{Gateway, watch};
 use crate::platform::standin::store::{Faults, Store};
 use crate::platform::store::Kind;
+use crate::policy::{Document, Limits};
 use crate::retry::Bound;
 
 fn settings(host: &str, store: SocketAddr) -> Settings {
@@ -142,6 +143,22 @@
     }));
 }
 
+/// Guards against a configuration that goes back because the store came back from an older copy, and
+/// against one that stays for ever though the store holds the older one on purpose
+#[test]
+fn older_configuration_is_used_only_when_the_newer_one_is_no_longer_held() {
+    let executor = Rc::new(LocalExecutor::new());
+    let unused_address: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let gateway = Gateway::new(settings("h1", unused_address), executor);
+    let document = |version| Document::new(version, Vec::new(), BTreeMap::new(), Limits::default());
+    assert!(gateway.apply(document(7)));
+    assert!(!gateway.apply(document(5)), "it is older");
+    gateway.is_rollback_allowed.set(true);
+    assert!(!gateway.apply(document(7)), "it is in force");
+    assert!(gateway.apply(document(5)), "it is the store's");
+    assert_eq!(gateway.configuration_version(), 5);
+}
+
 fn report(host: &str) -> Report {
     Report {
         host: host.into(),
