Let a host that starts in an outage of the store use the configuration of another host

Cause: a starting host waits for what others hold before it uses a configuration, but asked them only after it had read the configuration from the store itself. Besides, it took its first list for a new era, as the kind was marked as read before the era was compared, and so counted as one that knew the time before. Change: it asks as soon as it knows a configuration, read or adopted; the era is compared first.

--- a/src/gateway/era.rs
+++ b/src/gateway/era.rs
@@ -39,7 +39,7 @@
     let now = Instant::now();
     let mirror = gateway.mirror.borrow();
     let previous = mirror.position(kind).era;
-    let is_first = !mirror.was_read(kind) && mirror.objects(kind).next().is_none();
+    let is_first = !mirror.was_read(kind) && !mirror.has_objects(kind);
     let mut holdover = gateway.holdover.borrow_mut();
     if is_first || era <= previous {
         return holdover.release_listed(kind, listed);
@@ -86,8 +86,8 @@
             false => CHECK_INTERVAL,
         })
         .await;
-        let was_read = gateway.mirror.borrow().was_read(Kind::Configuration);
-        if was_read && !may_configure(&gateway) {
+        let has_configuration = gateway.mirror.borrow().has_objects(Kind::Configuration);
+        if has_configuration && !may_configure(&gateway) {
             ask_hosts(&gateway).await;
             gateway.knows_holdover.set(true);
             apply(&gateway, Kind::Configuration);
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -198,6 +198,11 @@
             .flat_map(BTreeMap::values)
     }
 
+    /// Returns whether any object of a kind is known, read or adopted from another host
+    pub fn has_objects(&self, kind: Kind) -> bool {
+        self.objects(kind).next().is_some()
+    }
+
     /// Returns whether an object exists
     pub fn contains(&self, kind: Kind, name: &str) -> bool {
         let objects = self.objects.get(&kind);
--- a/src/gateway/tests/watch.rs
+++ b/src/gateway/tests/watch.rs
@@ -143,6 +143,35 @@
     }));
 }
 
+/// Guards against a starting host that takes its first list for a new era of the store
+#[test]
+fn first_list_begins_no_era() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.clone().run(async {
+        let store = Store::with_era();
+        let address = store.start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let gateway = Rc::new(Gateway::new(settings("h1", address), executor.clone()));
+        let (_resync, resync_requested) = bounded(1);
+        let _following = executor.spawn(watch::follow(
+            gateway.clone(),
+            Kind::Evacuations,
+            resync_requested,
+        ));
+        let is_witness = || gateway.holdover.borrow().report(Instant::now()).is_witness;
+        while !gateway.mirror.borrow().was_read(Kind::Evacuations) {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        assert!(!is_witness(), "it knows nothing of before");
+        let copy = store.copy();
+        store.restore(&copy);
+        store.write(Kind::Evacuations.name(), "a", json!({}));
+        while gateway.mirror.borrow().era() < 2 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        assert!(is_witness(), "it lived through the restore");
+    }));
+}
+
 /// Guards against a configuration that goes back because the store came back from an older copy, and
 /// against one that stays for ever though the store holds the older one on purpose
 #[test]
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -220,8 +220,8 @@
         if position.era < gateway.mirror.borrow().era() {
             return Err(Error::OldEra(position.era));
         }
-        mark_store_regained(gateway, kind, source);
         era::begin(gateway, kind, position.era, &objects);
+        mark_store_regained(gateway, kind, source);
         let now = Instant::now();
         let mut mirror = gateway.mirror.borrow_mut();
         mirror.replace(now, kind, objects.clone(), position);
