Log the source of each kind and the age of the store's answer behind it

The decision log could not tell which host read the store for another, or how old what it read was. Hosts state the age of their copy and the number of hosts between it and the store in responses to other hosts, each host logs when a kind comes from another source, requests carry the age of their configuration, and /status and the metrics have it too. No decision uses any of it yet.

--- a/src/gateway/bootstrap.rs
+++ b/src/gateway/bootstrap.rs
@@ -5,7 +5,7 @@
 
 use smol::Timer;
 
-use super::watch::apply_list;
+use super::apply::apply_list;
 use super::{Gateway, era};
 use crate::platform::store::{Kind, Object};
 
--- a/src/gateway/era.rs
+++ b/src/gateway/era.rs
@@ -11,8 +11,9 @@
 use serde::de::DeserializeOwned;
 use smol::Timer;
 
+use super::apply::apply_list;
 use super::holdover::{HOLD_TIME, Holdover, Report};
-use super::{Gateway, quarantine, watch};
+use super::{Gateway, quarantine};
 use crate::message::{Connection, timeout};
 use crate::platform::store::{Era, Event, Kind, Object};
 
@@ -115,7 +116,7 @@
     if kind == Kind::Configuration {
         objects.extend(gateway.holdover.borrow().objects(kind).cloned());
     }
-    watch::apply_list(gateway, kind, &objects);
+    apply_list(gateway, kind, &objects);
 }
 
 /// Asks a few hosts what they hold, until one knows the time before the era
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -487,6 +487,7 @@
             time_left: self.deadline.saturating_duration_since(Instant::now()),
             version: self.gateway.configuration_version(),
             store_unreachable: self.gateway.mirror.borrow().is_store_unreachable(),
+            store_age: self.gateway.configuration_age(),
         });
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 
 use super::Gateway;
+use super::record::millis;
 use crate::operator::metrics::{encode, exporter};
 use crate::platform::store::Kind;
 use crate::quarantine::CRASH_THRESHOLD;
@@ -168,6 +169,10 @@
         ("configuration_version", gateway.configuration_version()),
         ("store_era", gateway.mirror.borrow().era()),
         ("held_objects", gateway.holdover.borrow().len() as u64),
+        (
+            "configuration_age_ms",
+            gateway.configuration_age().map_or(0, millis),
+        ),
         ("endpoints", gateway.catalog.borrow().len() as u64),
         (
             "leaving_endpoints",
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -9,8 +9,9 @@
 use serde::{Deserialize, Serialize};
 use smol::channel::{Receiver, Sender, bounded};
 
+use super::origin::Origin;
 use crate::fleet::Watermark;
-use crate::platform::store::{Era, Event, Kind, Object, Position};
+use crate::platform::store::{CopyAge, Era, Event, Kind, Object, Position};
 
 /// Number of changes per kind that are kept for followers; covers minutes of normal traffic
 const MAX_HISTORY_EVENTS: usize = 2048;
@@ -39,6 +40,9 @@
     /// Time of the last successful read, by kind
     #[serde(skip)]
     last_read: BTreeMap<Kind, Instant>,
+    /// Origin of the copy of each kind
+    #[serde(skip)]
+    origins: BTreeMap<Kind, Origin>,
     /// Kinds that this host watches at the store itself
     #[serde(skip)]
     direct: BTreeSet<Kind>,
@@ -171,6 +175,22 @@
         }
     }
 
+    /// Sets the origin of the copy of a kind
+    pub fn set_origin(&mut self, kind: Kind, origin: Origin) {
+        self.origins.insert(kind, origin);
+    }
+
+    /// Returns the origin of the copy of a kind, `None` if it was never read
+    pub fn origin(&self, kind: Kind) -> Option<Origin> {
+        self.origins.get(&kind).copied()
+    }
+
+    /// Returns the age of the copy of a kind to tell a follower
+    pub fn copy_age(&self, now: Instant, kind: Kind) -> CopyAge {
+        let origin = self.origin(kind);
+        origin.map_or_else(CopyAge::default, |origin| origin.copy_age(now))
+    }
+
     fn notify(&mut self, kind: Kind) {
         // Dropping the senders closes the channels of all waiters.
         self.waiters.remove(&kind);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 use crate::fleet::{self, Fleet};
 use crate::id::{EndpointId, Incarnation, RegionId, ServiceId};
 use crate::placement::{AffinityKeys, Pool, ServiceTime, SlidingWindow, service_time};
+use crate::platform::store::Kind;
 use crate::policy::Document;
 use crate::quarantine::Register;
 use crate::region::{self, Balancer, Demand, Load, Shares};
@@ -24,6 +25,7 @@
 
 mod accept;
 mod advice;
+mod apply;
 mod bootstrap;
 mod cold;
 mod era;
@@ -34,6 +36,7 @@
 mod log;
 mod metrics;
 mod mirror;
+mod origin;
 mod peers;
 mod ports;
 mod probe;
@@ -201,6 +204,12 @@
             .map_or(0, |configuration| configuration.version)
     }
 
+    /// Returns the age of the store's answer that the configuration rests on
+    fn configuration_age(&self) -> Option<Duration> {
+        let origin = self.mirror.borrow().origin(Kind::Configuration)?;
+        Some(origin.age(Instant::now()))
+    }
+
     /// Activates a configuration if its version is higher, or lower while a rollback is allowed;
     /// returns whether it did
     pub fn apply(&self, configuration: Document) -> bool {
--- /dev/null
+++ b/src/gateway/origin.rs
@@ -0,0 +1,70 @@
+//! How a host's copy of a kind descends from the store: when the store gave the answer that it rests
+//! on, and through how many hosts it came.
+
+use std::time::{Duration, Instant};
+
+use crate::platform::store::{CopyAge, Kind};
+
+use super::Gateway;
+use super::source::Source;
+
+/// Origin of a copy
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Origin {
+    /// Time of the store's answer
+    pub answered_at: Instant,
+    /// Number of other hosts between the store and this one
+    pub hops: u8,
+}
+
+impl Origin {
+    /// Returns the origin of what the store itself just answered
+    pub fn new(now: Instant) -> Self {
+        Self {
+            answered_at: now,
+            hops: 0,
+        }
+    }
+
+    /// Returns the origin of what another host just answered from a copy of its own
+    pub fn with_copy(now: Instant, copy: CopyAge) -> Self {
+        Self {
+            answered_at: now.checked_sub(copy.age).unwrap_or(now),
+            hops: copy.hops.saturating_add(1),
+        }
+    }
+
+    /// Returns the age of the store's answer
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.answered_at)
+    }
+
+    /// Returns what to tell a host that reads this copy
+    pub fn copy_age(&self, now: Instant) -> CopyAge {
+        CopyAge {
+            age: self.age(now),
+            hops: self.hops,
+        }
+    }
+}
+
+/// Logs that a kind is read from another source than before
+pub fn record_source(gateway: &Gateway, kind: Kind, source: Source) {
+    let name = match source.is_store {
+        true => "store".into(),
+        false => match gateway.fleet.borrow().host_at(source.address) {
+            Some(host) => host,
+            None => source.address.to_string().into(),
+        },
+    };
+    let origin = gateway.mirror.borrow().origin(kind);
+    let now = Instant::now();
+    let age = origin.map(|origin| origin.age(now).as_millis() as u64);
+    let fields = [
+        ("kind", kind.name().into()),
+        ("source", name.as_str().into()),
+        ("store_age_ms", age.into()),
+        ("hops", origin.map(|origin| origin.hops).into()),
+    ];
+    gateway.recorder.event("source", &fields);
+}
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -119,7 +119,8 @@
                 return (503, "text/plain", "not followed here\n".to_owned());
             }
             let revision = mirror.position(kind).revision;
-            return json(store::list_response(mirror.objects(kind), revision));
+            let copy = mirror.copy_age(Instant::now(), kind);
+            return json(store::list_response(mirror.objects(kind), revision, copy));
         }
     };
     let deadline = Instant::now() + wait.min(MAX_WATCH_WAIT);
@@ -127,7 +128,8 @@
         let update = gateway.mirror.borrow().changes_after(kind, position);
         match update {
             Update::Changes(events, next) => {
-                return json(store::watch_response(events.iter(), next));
+                let copy = gateway.mirror.borrow().copy_age(Instant::now(), kind);
+                return json(store::watch_response(events.iter(), next, copy));
             }
             Update::Compacted => return (410, "text/plain", "history is gone\n".to_owned()),
             Update::Unavailable => return (503, "text/plain", "not followed here\n".to_owned()),
@@ -138,7 +140,8 @@
         if timeout(deadline, changed.recv()).await.is_none() {
             let latest = gateway.mirror.borrow().position(kind);
             let next = latest.max(position).revision;
-            return json(store::watch_response([].iter(), next));
+            let copy = gateway.mirror.borrow().copy_age(Instant::now(), kind);
+            return json(store::watch_response([].iter(), next, copy));
         }
     }
 }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -58,6 +58,8 @@
     pub version: u64,
     /// Whether the store is unreachable, so that this host's state may be stale
     pub store_unreachable: bool,
+    /// Age of the store's answer that the configuration rests on, `None` if it was never read
+    pub store_age: Option<Duration>,
 }
 
 /// Returns the text form of a quarantine key
@@ -131,6 +133,7 @@
             "expected_ms": request.estimate.map(|(.., time)| time.as_millis() as u64),
             "version": request.version,
             "store_dark": request.store_unreachable,
+            "store_age_ms": request.store_age.map(millis),
         });
         log::info!(target: TARGET, "{text}");
     }
@@ -205,6 +208,7 @@
             time_left: Duration::ZERO,
             version: self.configuration_version(),
             store_unreachable: self.mirror.borrow().is_store_unreachable(),
+            store_age: self.configuration_age(),
         });
     }
 }
--- a/src/platform/replication.rs
+++ b/src/platform/replication.rs
@@ -16,6 +16,32 @@
     Watch(Kind, Position, Duration),
 }
 
+/// Age of a host's copy of a kind, which it states with the objects
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CopyAge {
+    /// Time since the answer of the store that the copy rests on
+    pub age: Duration,
+    /// Number of other hosts between the store and that host
+    pub hops: u8,
+}
+
+impl CopyAge {
+    /// Reads the age from a response, `None` if it has none
+    pub fn from_response(response: &Value) -> Option<Self> {
+        Some(Self {
+            age: Duration::from_millis(response["age_ms"].as_u64()?),
+            hops: u8::try_from(response["hops"].as_u64()?).ok()?,
+        })
+    }
+
+    /// Adds the age to a response
+    fn add_to(self, mut response: Value) -> Value {
+        response["age_ms"] = json!(self.age.as_millis() as u64);
+        response["hops"] = json!(self.hops);
+        response
+    }
+}
+
 /// Parses a list or watch request as [`Session`] sends it
 pub fn parse_request(method: &str, target: &str) -> Option<Request> {
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -37,13 +63,21 @@
 }
 
 /// Returns the response body to a list request, as a single page
-pub fn list_response<'a>(objects: impl Iterator<Item = &'a Object>, revision: u64) -> Value {
+pub fn list_response<'a>(
+    objects: impl Iterator<Item = &'a Object>,
+    revision: u64,
+    copy: CopyAge,
+) -> Value {
     let items: Vec<Value> = objects.map(encode_object).collect();
-    json!({ "items": items, "has_more": false, "store_revision": revision })
+    copy.add_to(json!({ "items": items, "has_more": false, "store_revision": revision }))
 }
 
 /// Returns the response body to a watch request
-pub fn watch_response<'a>(events: impl Iterator<Item = &'a Event>, revision: u64) -> Value {
+pub fn watch_response<'a>(
+    events: impl Iterator<Item = &'a Event>,
+    revision: u64,
+    copy: CopyAge,
+) -> Value {
     let events = events.map(|event| match event {
         Event::Put(object) => json!({ "removed": false, "object": encode_object(object) }),
         Event::Removed(name) => {
@@ -51,7 +85,7 @@
         }
     });
     let events: Vec<Value> = events.collect();
-    json!({ "events": events, "store_revision": revision })
+    copy.add_to(json!({ "events": events, "store_revision": revision }))
 }
 
 fn encode_object(object: &Object) -> Value {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 
 use super::header;
-pub use super::replication::{Request, list_response, parse_request, watch_response};
+pub use super::replication::{CopyAge, Request, list_response, parse_request, watch_response};
 use super::response_time::{self, ResponseTime};
 use crate::message::{self, Connection, timeout};
 
@@ -149,6 +149,8 @@
     response_time: ResponseTime,
     /// Whether requests for changes state the era; only hosts of this system read it
     states_era: bool,
+    /// Age of the copy that the last response came from, `None` at the store itself
+    copy_age: Option<CopyAge>,
 }
 
 /// Response to a call
@@ -168,6 +170,7 @@
             calls: 0,
             response_time: ResponseTime::default(),
             states_era: false,
+            copy_age: None,
         }
     }
 
@@ -176,6 +179,11 @@
         std::mem::take(&mut self.calls)
     }
 
+    /// Returns the age of the copy that the last list or watch came from, `None` for the store itself
+    pub fn copy_age(&self) -> Option<CopyAge> {
+        self.copy_age
+    }
+
     /// Sets the address of the store; closes the connection if it changes
     pub fn set_address(&mut self, address: SocketAddr) {
         if self.address != address {
@@ -211,6 +219,7 @@
             let response = self.read_page(&path).await?;
             let era = response.era;
             let page = parse_response(&response)?;
+            self.copy_age = CopyAge::from_response(&page);
             if position.is_some_and(|position| position.era != era) {
                 return Err(Error::NewEra(era));
             }
@@ -294,6 +303,7 @@
         let response = self.read(&path, wait).await?;
         let answered_era = response.era;
         let response = parse_response(&response)?;
+        self.copy_age = CopyAge::from_response(&response);
         match answered_era.cmp(&era) {
             Ordering::Less => return Err(Error::OldEra(answered_era)),
             Ordering::Greater => return Err(Error::NewEra(answered_era)),
