Failing test: a store that refuses all hosts but one

Six real hosts in two regions, whose proxies to the store are silent, reset connections or answer 503 for all but one host, which differs by case.

--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -427,6 +427,23 @@
     panic!("not within {WAIT_TIMEOUT:?}: {condition}");
 }
 
+/// Sends a request to a host and returns the status of the answer
+pub async fn get_status(host: SocketAddr, target: &str, id: &str) -> Option<u16> {
+    let request = format!(
+        "GET {target} HTTP/1.1\r\nHost: {HOST_NAME}\r\nAttempt-Id: {id}\r\n\
+         Request-Deadline: 1500\r\nConnection: close\r\n\r\n"
+    );
+    let deadline = Instant::now() + Duration::from_secs(2);
+    let exchange = async {
+        let mut connection = Connection::connect(host, Duration::from_secs(1))
+            .await
+            .ok()?;
+        connection.write(request.as_bytes(), deadline).await.ok()?;
+        Some(connection.read_response("GET").await.ok()?.status)
+    };
+    timeout(deadline, exchange).await.flatten()
+}
+
 /// Sends a GET request and returns the status and body of the response, if there is one
 pub async fn get(address: SocketAddr, target: &str) -> Option<(u16, Vec<u8>)> {
     let time_limit = Duration::from_secs(2);
--- a/tests/site/proxy.rs
+++ b/tests/site/proxy.rs
@@ -24,6 +24,8 @@
     Silent,
     /// Closes connections
     Reset,
+    /// Closes open connections and answers requests on new ones with status 503
+    Refuse,
     /// Drops responses; a connection that lost one stays open and returns nothing afterwards
     Lose,
     /// Sends a response head without end in place of each response, until the client closes
@@ -36,12 +38,13 @@
     EndlessGarbage,
 }
 
-const MODES: [Mode; 10] = [
+const MODES: [Mode; 11] = [
     Mode::Pass,
     Mode::Delay,
     Mode::OneWay,
     Mode::Silent,
     Mode::Reset,
+    Mode::Refuse,
     Mode::Lose,
     Mode::EndlessHead,
     Mode::EndlessChunks,
@@ -163,6 +166,9 @@
     if current_mode(&mode) == Mode::Reset {
         return;
     }
+    if current_mode(&mode) == Mode::Refuse {
+        return refuse(client).await;
+    }
     let Ok(server) = TcpStream::connect(target).await else {
         return;
     };
@@ -180,13 +186,22 @@
         }
     };
     let reset = async {
-        while current_mode(&mode) != Mode::Reset {
+        while !matches!(current_mode(&mode), Mode::Reset | Mode::Refuse) {
             Timer::after(Duration::from_millis(10)).await;
         }
     };
     upload.or(download).or(reset).await;
 }
 
+/// Answers each request with status 503; requests without a body arrive in one piece
+async fn refuse(mut client: TcpStream) {
+    let mut buffer = vec![0; 16 << 10];
+    let response = b"HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n";
+    while let Ok(1..) = client.read(&mut buffer).await
+        && client.write_all(response).await.is_ok()
+    {}
+}
+
 async fn copy(
     mut from: TcpStream,
     mut to: TcpStream,
