--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -19,32 +19,23 @@
 use crate::util::stable_hash;
 
 mod lag;
+mod readers;
 
 #[cfg(test)]
 mod tests;
 
 pub use lag::{LAG_TOLERANCE, LagDetector, Watermark};
+pub use readers::READERS_PER_REGION;
 
 /// Number of ring successors that each host pings; enough that neighbors rarely fail together
 pub const WATCHED_SUCCESSORS: usize = 4;
 
-/// Number of hosts per region that read the store directly; two, so that one may fail unnoticed
-pub const READERS_PER_REGION: usize = 2;
-
-/// Ratio to the strongest host's weight from which a host counts as strong
-///
-/// Machines come in few sizes, which differ by more than this.
-const MIN_STRONG_WEIGHT_RATIO: f64 = 0.5;
-
 /// Interval between pings to a watched host
 pub const PING_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How long a watched host may be silent before it counts as failed: five lost pings
 pub const PING_TIMEOUT: Duration = Duration::from_millis(2600);
 
-/// How long a host that cannot read the store, or cannot be reached, is no reader
-const READER_FAILURE_TTL: Duration = Duration::from_secs(5);
-
 /// How long removed hosts are remembered; longer than a copy of the store is old
 const REMOVED_TTL: Duration = Duration::from_secs(60);
 
@@ -104,8 +95,8 @@
     removed: BTreeMap<HostId, (Incarnation, Instant)>,
     /// Listed hosts that stay silent; not offered to callers until they report or are listed again
     unresponsive: BTreeSet<HostId>,
-    /// Hosts that cannot read the store, and until when they are not chosen as readers
-    failed_readers: BTreeMap<HostId, Instant>,
+    /// Which hosts can read the store, and which cannot
+    readers: readers::Observations,
     /// Whether the next list is the first one of a store that came back from an older copy
     is_restoring: bool,
 }
@@ -232,71 +223,6 @@
         ring.into_iter().map(|(_, member)| member).collect()
     }
 
-    /// Returns the hosts of a region that read the store directly; the others replicate from them
-    ///
-    /// The store counts each waiting watch, so the number of readers must not grow with the fleet.
-    ///
-    /// A host without a report within `timeout` may be partitioned and is excluded. A weak host is
-    /// chosen only if there are not enough strong ones, and one that cannot read the store only if no
-    /// other host can: when many hosts switch to it at once, as
-    /// after the failure of the other reader, the lists that it sends delay its own reports, and it
-    /// appears to have failed, too.
-    pub fn readers(&self, now: Instant, region: &str, timeout: Duration) -> Vec<&Member> {
-        self.rank_readers(now, region, |member| {
-            let last_heard = self.last_heard.get(&member.host);
-            member.host == self.own || last_heard.is_some_and(|at| now < *at + timeout)
-        })
-    }
-
-    /// Returns the other hosts of a region that are likely to be readers, whether they reported or not
-    pub fn likely_readers(&self, now: Instant, region: &str) -> Vec<&Member> {
-        self.rank_readers(now, region, |member| member.host != self.own)
-    }
-
-    fn rank_readers(
-        &self,
-        now: Instant,
-        region: &str,
-        is_candidate: impl Fn(&Member) -> bool,
-    ) -> Vec<&Member> {
-        let candidates: Vec<&Member> = self
-            .members
-            .values()
-            .filter(|member| member.region == region && member.control.is_some())
-            .filter(|member| is_candidate(member))
-            .collect();
-        let max_weight = candidates
-            .iter()
-            .map(|member| member.weight)
-            .fold(0.0, f64::max);
-        let mut ranked: Vec<((bool, bool, u64), &Member)> = candidates
-            .into_iter()
-            .map(|member| {
-                let has_failed = self.has_failed_as_reader(now, &member.host);
-                let is_weak = member.weight < max_weight * MIN_STRONG_WEIGHT_RATIO;
-                let hash = stable_hash(&("reader", &member.host));
-                ((has_failed, is_weak, hash), member)
-            })
-            .collect();
-        ranked.sort_by(|(a, first), (b, second)| a.cmp(b).then(first.host.cmp(&second.host)));
-        ranked.truncate(READERS_PER_REGION);
-        ranked.into_iter().map(|(_, member)| member).collect()
-    }
-
-    /// Records that a host cannot read the store, or cannot be reached at its control port
-    pub fn record_reader_failure(&mut self, now: Instant, host: &HostId) {
-        self.failed_readers.retain(|_, until| now < *until);
-        self.failed_readers
-            .insert(host.clone(), now + READER_FAILURE_TTL);
-    }
-
-    /// Returns whether a host could not be used as a reader lately
-    pub fn has_failed_as_reader(&self, now: Instant, host: &HostId) -> bool {
-        self.failed_readers
-            .get(host)
-            .is_some_and(|until| now < *until)
-    }
-
     /// Returns the listed host with this control address
     pub fn host_at(&self, control: SocketAddr) -> Option<HostId> {
         let mut members = self.members.values();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -27,6 +27,7 @@
     connections: Counter<u64>,
     probes: Counter<u64>,
     store_calls: Counter<u64>,
+    store_checks: Counter<u64>,
     crashes: Counter<u64>,
     broken_off: Counter<u64>,
     new_eras: Counter<u64>,
@@ -59,6 +60,10 @@
             connections: counter("pier_gate_connections", "Connections opened to endpoints"),
             probes: counter("pier_gate_probes", "Health checks sent"),
             store_calls: counter("pier_gate_store_calls", "Calls to the store, by kind"),
+            store_checks: counter(
+                "pier_gate_store_checks",
+                "Small reads that show whether the store serves this host",
+            ),
             crashes: counter(
                 "pier_gate_endpoint_crashes",
                 "Attempts during which the endpoint ended",
@@ -123,6 +128,11 @@
         }
     }
 
+    /// Counts small reads that show whether the store serves this host
+    pub fn count_store_checks(&self, count: u64) {
+        self.store_checks.add(count, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format
     pub fn prometheus_text(&self, gateway: &Gateway) -> String {
         for (item, value) in state_items(gateway) {
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -43,9 +43,9 @@
     /// Origin of the copy of each kind
     #[serde(skip)]
     origins: BTreeMap<Kind, Origin>,
-    /// Kinds that this host watches at the store itself
+    /// Kinds that followers may read here, as long as the copy is fresh
     #[serde(skip)]
-    direct: BTreeSet<Kind>,
+    served: BTreeSet<Kind>,
     /// Latest changes, each with the revision at which it was applied
     #[serde(skip)]
     history: BTreeMap<Kind, VecDeque<(u64, Event)>>,
@@ -66,7 +66,7 @@
     Unchanged,
     /// The history does not reach back to that revision
     Compacted,
-    /// This host does not watch the kind at the store itself
+    /// This host has no fresh copy of the kind
     Unavailable,
 }
 
@@ -124,15 +124,39 @@
         }
     }
 
-    /// Returns whether followers may read a kind here, as it is watched at the store itself
-    pub fn is_followable(&self, kind: Kind) -> bool {
-        self.direct.contains(&kind) && !self.unreachable_since.contains_key(&kind)
+    /// Returns whether followers may read a kind here
+    pub fn is_followable(&self, now: Instant, kind: Kind) -> bool {
+        self.fresh_until(kind).is_some_and(|until| now < until)
+    }
+
+    /// Returns until when followers may read a kind here if the store says nothing more, `None` if
+    /// they may not
+    pub fn fresh_until(&self, kind: Kind) -> Option<Instant> {
+        if !self.served.contains(&kind) || self.unreachable_since.contains_key(&kind) {
+            return None;
+        }
+        self.origin(kind)?.fresh_until()
+    }
+
+    /// Returns whether a kind is read from the store itself
+    pub fn reads_store(&self, now: Instant, kind: Kind) -> bool {
+        let is_direct = self.origin(kind).is_some_and(|origin| origin.hops == 0);
+        is_direct && self.is_followable(now, kind)
+    }
+
+    /// Records that the store answers, so that open watches at it would show changes
+    pub fn confirm(&mut self, now: Instant) {
+        for kind in &self.served {
+            if let Some(origin) = self.origins.get_mut(kind).filter(|origin| origin.hops == 0) {
+                *origin = Origin::new(now);
+            }
+        }
     }
 
     /// Returns the changes after a position, for a follower
-    pub fn changes_after(&self, kind: Kind, position: Position) -> Update {
+    pub fn changes_after(&self, now: Instant, kind: Kind, position: Position) -> Update {
         let Position { era, revision } = position;
-        if !self.is_followable(kind) {
+        if !self.is_followable(now, kind) {
             return Update::Unavailable;
         }
         if era != self.position(kind).era {
@@ -164,11 +188,11 @@
         receiver
     }
 
-    /// Sets whether a kind is watched at the store itself
-    pub fn set_direct(&mut self, kind: Kind, direct: bool) {
-        let changed = match direct {
-            true => self.direct.insert(kind),
-            false => self.direct.remove(&kind),
+    /// Sets whether followers may read a kind here, as long as the copy is fresh
+    pub fn set_served(&mut self, kind: Kind, is_served: bool) {
+        let changed = match is_served {
+            true => self.served.insert(kind),
+            false => self.served.remove(&kind),
         };
         if changed {
             self.notify(kind);
@@ -290,7 +314,7 @@
             is_new = true;
             now
         });
-        self.set_direct(kind, false);
+        self.set_served(kind, false);
         is_new
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod apply;
 mod bootstrap;
 mod cold;
+mod contact;
 mod era;
 mod exchange;
 mod forward;
@@ -47,6 +48,7 @@
 mod settings;
 mod source;
 mod stop;
+mod store_check;
 mod store_gate;
 mod stream;
 mod upload;
@@ -120,6 +122,14 @@
     era_lag_tolerance: Duration,
     /// Limits the calls to a store that fails
     store_gate: Cell<store_gate::StoreGate>,
+    /// Whether the store serves this host
+    contact: Cell<contact::Contact>,
+    /// Full while the store is to be checked at once, since a call failed
+    store_suspected: (Sender<()>, Receiver<()>),
+    /// Number of reads under way at the store
+    store_reads: Cell<u32>,
+    /// Kinds for which no host serves this one, and since when
+    without_source: RefCell<BTreeMap<Kind, Instant>>,
     /// Full while reports are to be sent at once, since a request crashed an endpoint
     urgent_news: (Sender<()>, Receiver<()>),
     /// Whether a planned stop has begun
@@ -161,6 +171,10 @@
             is_rollback_allowed: Cell::new(false),
             era_lag_tolerance: ERA_LAG_TOLERANCE.mul_f64(1.0 + fastrand::f64()),
             store_gate: Cell::default(),
+            contact: Cell::default(),
+            store_suspected: bounded(1),
+            store_reads: Cell::default(),
+            without_source: RefCell::default(),
             urgent_news: bounded(1),
             stopping: Cell::new(false),
             refusing: Cell::new(false),
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -8,6 +8,16 @@
 use super::Gateway;
 use super::source::Source;
 
+/// Age of the store's answer from which a copy is not served to other hosts
+///
+/// A reader hears from the store several times within it, or knows that the store does not answer.
+const MAX_SERVED_AGE: Duration = Duration::from_millis(1500);
+
+/// Number of hosts between the store and one that serves its copy
+///
+/// A host that follows such a copy serves none, so hosts that follow each other find out at once.
+const MAX_SERVED_HOPS: u8 = 1;
+
 /// Origin of a copy
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Origin {
@@ -39,6 +49,11 @@
         now.saturating_duration_since(self.answered_at)
     }
 
+    /// Returns until when the copy may be served to other hosts, `None` if it came through too many
+    pub fn fresh_until(&self) -> Option<Instant> {
+        (self.hops <= MAX_SERVED_HOPS).then(|| self.answered_at + MAX_SERVED_AGE)
+    }
+
     /// Returns what to tell a host that reads this copy
     pub fn copy_age(&self, now: Instant) -> CopyAge {
         CopyAge {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,7 +13,7 @@
 use super::source::{LagMonitor, Resync};
 use super::{Gateway, quarantine};
 use crate::fleet::{Member, PING_INTERVAL, Report, Watermark};
-use crate::id::{RegionId, ServiceId};
+use crate::id::{HostId, RegionId, ServiceId};
 use crate::platform::record;
 use crate::platform::store::{Era, Error, Kind, Session};
 use crate::quarantine::{Key, Record, Source};
@@ -65,6 +65,8 @@
             suspects,
             cannot_read_store,
             region_demand,
+            reads_store,
+            store_reader,
         }) = decode(&buffer[..length])
         else {
             log::debug!("cannot decode a datagram from {sender}");
@@ -84,6 +86,15 @@
             if cannot_read_store {
                 fleet.record_reader_failure(now, &report.host);
             }
+            match reads_store {
+                true => fleet.record_store_reader(now, &report.host),
+                false => fleet.forget_store_reader(&report.host),
+            }
+            if let Some((host, age)) = store_reader
+                && let Some(at) = now.checked_sub(age)
+            {
+                fleet.record_store_reader_heard(at, &host);
+            }
             if !region_demand.is_empty() && report.region != gateway.settings.borrow().region {
                 fleet.record_region_demand(now, report.region.clone(), region_demand);
             }
@@ -194,6 +205,7 @@
 }
 
 fn encode_report(gateway: &Gateway, to_own_region: bool, ping: bool) -> Vec<u8> {
+    let now = Instant::now();
     let settings = gateway.settings.borrow();
     let report = Report {
         host: settings.host.clone(),
@@ -206,11 +218,13 @@
     let message = Message {
         report,
         watermarks: gateway.mirror.borrow().watermarks(),
-        suspects: quarantine.news(Instant::now(), to_own_region),
-        cannot_read_store: gateway
-            .fleet
+        suspects: quarantine.news(now, to_own_region),
+        cannot_read_store: cannot_serve_reads(gateway, now),
+        reads_store: gateway
+            .mirror
             .borrow()
-            .has_failed_as_reader(Instant::now(), &settings.host),
+            .reads_store(now, Kind::Configuration),
+        store_reader: known_store_reader(gateway, now),
         region_demand: match to_own_region {
             true => BTreeMap::new(),
             false => region_demand(gateway, &settings.region),
@@ -219,6 +233,28 @@
     encode(&message)
 }
 
+/// Returns whether this host failed to read the store lately and has no copy for others to read
+fn cannot_serve_reads(gateway: &Gateway, now: Instant) -> bool {
+    let host = &gateway.settings.borrow().host;
+    gateway.fleet.borrow().has_failed_as_reader(now, host)
+        && !gateway
+            .mirror
+            .borrow()
+            .is_followable(now, Kind::Configuration)
+}
+
+/// Returns another host that reads the store, and how long ago it was known to
+///
+/// Only a host that the store does not serve passes this on: hosts that it serves need not know.
+fn known_store_reader(gateway: &Gateway, now: Instant) -> Option<(HostId, Duration)> {
+    if !gateway.contact.get().is_lost() {
+        return None;
+    }
+    let fleet = gateway.fleet.borrow();
+    let latest = fleet.store_readers(now).min_by_key(|(_, age)| *age);
+    latest.map(|(member, age)| (member.host.clone(), age))
+}
+
 /// Returns the demand of this host's region, by service
 fn region_demand(gateway: &Gateway, region: &RegionId) -> BTreeMap<ServiceId, f32> {
     let now = Instant::now();
@@ -245,13 +281,18 @@
     pub cannot_read_store: bool,
     /// Demand of the sender's region, by service; sent to other regions only
     pub region_demand: BTreeMap<ServiceId, f32>,
+    /// Whether the sender reads the store itself
+    pub reads_store: bool,
+    /// Another host that reads the store, and how long ago that was known
+    pub store_reader: Option<(HostId, Duration)>,
 }
 
 /// Encodes a message in parts, of which hosts of earlier versions read only the first one or two
 ///
 /// The oldest of them do not know [`Kind::Quarantine`], so its watermark is in the second part. The
-/// third has the eras of the watermarks, if the store states any, and the fourth whether the sender
-/// cannot read the store and the demand of its region, if there is any of it to tell.
+/// third has the eras of the watermarks, if the store states any, the fourth whether the sender cannot
+/// read the store and the demand of its region, and the fifth whether it reads the store and who else
+/// does, if there is any of it to tell.
 pub fn encode(message: &Message) -> Vec<u8> {
     let mut watermarks = message.watermarks.clone();
     let quarantine = watermarks.remove(&Kind::Quarantine);
@@ -264,7 +305,9 @@
         .iter()
         .map(|(kind, mark)| (*kind, mark.era));
     let eras: BTreeMap<Kind, Era> = eras.filter(|(_, era)| *era > 0).collect();
-    let has_fourth_part = message.cannot_read_store || !message.region_demand.is_empty();
+    let has_fifth_part = message.reads_store || message.store_reader.is_some();
+    let has_fourth_part =
+        has_fifth_part || message.cannot_read_store || !message.region_demand.is_empty();
     if !eras.is_empty() || has_fourth_part {
         bytes.extend(postcard::to_stdvec(&eras).expect("plain data is always encoded"));
     }
@@ -272,6 +315,12 @@
         let fourth = postcard::to_stdvec(&(message.cannot_read_store, &message.region_demand));
         bytes.extend(fourth.expect("plain data is always encoded"));
     }
+    if has_fifth_part {
+        let reader = message.store_reader.as_ref();
+        let reader = reader.map(|(host, age)| (host, age.as_millis() as u64));
+        let fifth = postcard::to_stdvec(&(message.reads_store, reader));
+        bytes.extend(fifth.expect("plain data is always encoded"));
+    }
     bytes
 }
 
@@ -282,6 +331,8 @@
     let mut suspects = Vec::new();
     let mut cannot_read_store = false;
     let mut region_demand = BTreeMap::new();
+    let mut reads_store = false;
+    let mut store_reader: Option<(HostId, u64)> = None;
     if !rest.is_empty() {
         let (added, rest) = postcard::take_from_bytes(rest)?;
         let quarantine: Option<Watermark>;
@@ -292,7 +343,11 @@
             false => postcard::take_from_bytes(rest)?,
         };
         if !rest.is_empty() {
-            (cannot_read_store, region_demand) = postcard::from_bytes(rest)?;
+            let (fourth, rest) = postcard::take_from_bytes(rest)?;
+            (cannot_read_store, region_demand) = fourth;
+            if !rest.is_empty() {
+                (reads_store, store_reader) = postcard::from_bytes(rest)?;
+            }
         }
         for (kind, watermark) in &mut watermarks {
             watermark.era = eras.get(kind).copied().unwrap_or(0);
@@ -304,6 +359,8 @@
         suspects,
         cannot_read_store,
         region_demand,
+        reads_store,
+        store_reader: store_reader.map(|(host, age)| (host, Duration::from_millis(age))),
     })
 }
 
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -115,29 +115,35 @@
         store::Request::Watch(kind, position, wait) => (kind, position, wait),
         store::Request::List(kind) => {
             let mirror = gateway.mirror.borrow();
-            if !mirror.is_followable(kind) {
+            let now = Instant::now();
+            if !mirror.is_followable(now, kind) {
                 return (503, "text/plain", "not followed here\n".to_owned());
             }
             let revision = mirror.position(kind).revision;
-            let copy = mirror.copy_age(Instant::now(), kind);
+            let copy = mirror.copy_age(now, kind);
             return json(store::list_response(mirror.objects(kind), revision, copy));
         }
     };
     let deadline = Instant::now() + wait.min(MAX_WATCH_WAIT);
     loop {
-        let update = gateway.mirror.borrow().changes_after(kind, position);
+        let now = Instant::now();
+        let update = gateway.mirror.borrow().changes_after(now, kind, position);
         match update {
             Update::Changes(events, next) => {
-                let copy = gateway.mirror.borrow().copy_age(Instant::now(), kind);
+                let copy = gateway.mirror.borrow().copy_age(now, kind);
                 return json(store::watch_response(events.iter(), next, copy));
             }
             Update::Compacted => return (410, "text/plain", "history is gone\n".to_owned()),
             Update::Unavailable => return (503, "text/plain", "not followed here\n".to_owned()),
             Update::Unchanged => {}
         }
-        let changed = gateway.mirror.borrow_mut().subscribe(kind);
+        let (changed, fresh_until) = {
+            let mut mirror = gateway.mirror.borrow_mut();
+            (mirror.subscribe(kind), mirror.fresh_until(kind))
+        };
+        let wait_end = fresh_until.map_or(deadline, |until| until.min(deadline));
         // The sender is dropped at a change, which ends the wait with an error.
-        if timeout(deadline, changed.recv()).await.is_none() {
+        if timeout(wait_end, changed.recv()).await.is_none() && wait_end == deadline {
             let latest = gateway.mirror.borrow().position(kind);
             let next = latest.max(position).revision;
             let copy = gateway.mirror.borrow().copy_age(Instant::now(), kind);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,7 +17,7 @@
 use super::ports::Port;
 use super::{
     Gateway, accept, bootstrap, era, log as gateway_log, peers, ports, probe, quarantine, stop,
-    watch,
+    store_check, watch,
 };
 use crate::error::Error;
 use crate::platform::node;
@@ -96,6 +96,7 @@
     gateway
         .spawn(peers::maintain_entry(gateway.clone()))
         .detach();
+    gateway.spawn(store_check::run(gateway.clone())).detach();
     gateway.spawn(probe::run(gateway.clone())).detach();
     gateway
         .spawn(quarantine::maintain_records(gateway.clone()))
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use super::{Gateway, peers};
-use crate::fleet::{LAG_TOLERANCE, LagDetector, Watermark};
+use super::{Gateway, Settings, peers};
+use crate::fleet::{Fleet, LAG_TOLERANCE, LagDetector, Watermark};
 use crate::id::HostId;
 use crate::platform::store::Kind;
 use crate::util::stable_hash;
@@ -22,6 +22,13 @@
 /// Wait of other watches; the store allows at most 30 s
 const LONG_WAIT: Duration = Duration::from_secs(10);
 
+/// Maximum wait of a watch whose answers are passed on; a fraction of the age at which a copy is not
+/// served any more
+const RELAYED_WAIT: Duration = Duration::from_millis(500);
+
+/// Number of hosts besides the readers of the region that are tried before the store
+const MAX_SUBSTITUTES: usize = 3;
+
 /// Number of reports that a reader may miss before its followers switch to another
 const MAX_MISSED_REPORTS: u32 = 4;
 
@@ -42,6 +49,9 @@
 /// Two hosts of a region read the store and the others follow them. A host that cannot reach one
 /// source tries the next, so in the end each host can fall back to the store. A host that started so
 /// lately that not all others have reported to it asks the listed hosts that are likely to be readers.
+///
+/// If the store refuses the readers of a region, its hosts read from others there that it serves, and
+/// its readers from those of other regions, whose copies they pass on.
 pub fn sources(gateway: &Gateway) -> Vec<Source> {
     let settings = gateway.settings.borrow();
     let fleet = gateway.fleet.borrow();
@@ -73,23 +83,64 @@
     if stable_hash(&settings.host) % 2 == 1 {
         sources.reverse();
     }
+    let substitutes = substitutes(&fleet, now, &settings, is_reader, &sources);
     if is_reader {
         sources.insert(0, store);
+        sources.extend(substitutes);
         return sources;
     }
     // Readers that lose the store briefly are tried twice before all hosts fall back to the store.
     sources.extend(sources.clone());
+    sources.extend(substitutes);
     sources.push(store);
     sources
 }
 
-/// Returns whether a host that was chosen as source number `index` is to be left for another source
+/// Returns hosts that read the store though they are not readers of this region, nearest first
+fn substitutes(
+    fleet: &Fleet,
+    now: Instant,
+    settings: &Settings,
+    is_reader: bool,
+    readers: &[Source],
+) -> Vec<Source> {
+    let mut members: Vec<_> = fleet
+        .store_readers(now)
+        .map(|(member, _)| member)
+        .filter(|member| is_reader || member.region == settings.region)
+        .collect();
+    // Spreads the hosts that need one over those that there are.
+    members.sort_by_cached_key(|member| {
+        let is_far = member.region != settings.region;
+        (is_far, stable_hash(&(&settings.host, &member.host)))
+    });
+    let addresses = members.into_iter().filter_map(|member| member.control);
+    addresses
+        .map(|address| Source {
+            address,
+            is_store: false,
+        })
+        .filter(|source| !readers.contains(source))
+        .take(MAX_SUBSTITUTES)
+        .collect()
+}
+
+/// Returns whether a source is to be left for another one
 ///
 /// A host that becomes a reader leaves the host that it followed at once: two hosts that start
 /// together take each other for the reader until they have listed themselves, and neither would hear
-/// of a change while each waits for the other.
-pub fn is_replaced(source: Source, index: usize, sources: &[Source]) -> bool {
-    !source.is_store && (!sources.contains(&source) || sources[index % sources.len()].is_store)
+/// of a change while each waits for the other. `was_reader` is whether it was one when it chose the
+/// source, `is_served` whether the store serves it; a reader that the store refuses keeps its source.
+pub fn is_replaced(source: Source, was_reader: bool, is_served: bool, sources: &[Source]) -> bool {
+    let becomes_reader = sources[0].is_store && !was_reader && is_served;
+    !source.is_store && (!sources.contains(&source) || becomes_reader)
+}
+
+/// Returns how long a watch of a reader at another host waits for a change
+///
+/// The reader serves its copy only while it is fresh, and each response states how old the copy is.
+pub fn relayed_watch_wait() -> Duration {
+    RELAYED_WAIT.mul_f64(0.75 + 0.25 * fastrand::f64())
 }
 
 /// Returns how long a watch of a kind waits for a change
@@ -161,7 +212,7 @@
         let mut resyncs = Vec::new();
         for (kind, remote) in watermarks {
             let local = mirror.watermark_against(*kind, *remote);
-            let begins_era = remote.era > local.era && !mirror.is_followable(*kind);
+            let begins_era = remote.era > local.era && !mirror.reads_store(now, *kind);
             let (detector, tolerance, resync) = match followed {
                 _ if is_reader && !begins_era => {
                     (&mut self.behind_source, LAG_TOLERANCE, Resync::Store)
--- a/src/gateway/store_gate.rs
+++ b/src/gateway/store_gate.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::Gateway;
-use crate::platform::store::Error;
+use crate::platform::store::{Error, Kind};
 
 /// Number of failures in a row that close the gate; a single one may be a connection that was reset
 const CLOSE_AFTER_FAILURES: u32 = 2;
@@ -17,6 +17,9 @@
 const CLOSED_RANGE: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1000));
 
+/// Time after which a task looks again whether the store answers checks
+const LOST_WAIT: Duration = Duration::from_millis(100);
+
 /// Time that the one call has which tests the store
 const TEST_TIME: Duration = Duration::from_millis(700);
 
@@ -41,6 +44,11 @@
         Duration::ZERO
     }
 
+    /// Lets one call through although the last ones failed, as the store answers checks again
+    pub fn reopen(&mut self) {
+        self.closed_until = None;
+    }
+
     /// Records a call that the store answered
     pub fn record_success(&mut self) {
         *self = Self::default();
@@ -62,6 +70,9 @@
 impl Gateway {
     /// Returns how long to wait before a call to the store, zero to make it now
     pub(super) fn enter_store(&self, now: Instant) -> Duration {
+        if self.contact.get().is_lost() {
+            return LOST_WAIT;
+        }
         let mut gate = self.store_gate.get();
         let wait = gate.enter(now);
         self.store_gate.set(gate);
@@ -73,6 +84,31 @@
         let mut gate = self.store_gate.get();
         gate.record_success();
         self.store_gate.set(gate);
+        self.record_store_answer();
+    }
+
+    /// Records a check that the store answered, after which other calls may still fail
+    pub(super) fn record_store_check(&self) {
+        if self.contact.get().is_lost() {
+            let mut gate = self.store_gate.get();
+            gate.reopen();
+            self.store_gate.set(gate);
+            self.recorder.event("store-answers", &[]);
+        }
+        self.record_store_answer();
+    }
+
+    fn record_store_answer(&self) {
+        let now = Instant::now();
+        let mut contact = self.contact.get();
+        contact.record_answer(now);
+        self.contact.set(contact);
+        let mut mirror = self.mirror.borrow_mut();
+        mirror.confirm(now);
+        if mirror.reads_store(now, Kind::Configuration) {
+            let own = self.settings.borrow().host.clone();
+            self.fleet.borrow_mut().record_store_reader(now, &own);
+        }
     }
 
     /// Records a call that the store did not serve; other errors are answers
@@ -86,6 +122,14 @@
         ) {
             return;
         }
+        let mut contact = self.contact.get();
+        if contact.is_lost() {
+            return;
+        }
+        contact.record_suspicion();
+        self.contact.set(contact);
+        // A full channel means that the store is about to be checked.
+        let _ = self.store_suspected.0.try_send(());
         let mut gate = self.store_gate.get();
         gate.record_failure(now, fastrand::f64());
         self.store_gate.set(gate);
--- a/src/gateway/tests/mirror.rs
+++ b/src/gateway/tests/mirror.rs
@@ -1,10 +1,11 @@
 //! Changes that a host that reads the store serves to its followers.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde_json::Value;
 
 use crate::gateway::mirror::{Mirror, Update};
+use crate::gateway::origin::Origin;
 use crate::platform::store::{Event, Kind, Object, Position};
 
 const KIND: Kind = Kind::Configuration;
@@ -25,7 +26,8 @@
 fn reader() -> Mirror {
     let mut mirror = Mirror::default();
     mirror.replace(Instant::now(), KIND, Vec::new(), at(10));
-    mirror.set_direct(KIND, true);
+    mirror.set_origin(KIND, Origin::new(Instant::now()));
+    mirror.set_served(KIND, true);
     mirror.apply_changes(KIND, &[put("a", 12)], 12);
     mirror.apply_changes(KIND, &[put("b", 14), Event::Removed("a".into())], 15);
     mirror
@@ -60,7 +62,7 @@
         },
     ];
     for case in cases {
-        let event_count = match reader().changes_after(KIND, at(case.revision)) {
+        let event_count = match reader().changes_after(Instant::now(), KIND, at(case.revision)) {
             Update::Changes(events, next) => {
                 assert_eq!(next, 15);
                 Some(events.len())
@@ -81,17 +83,90 @@
         !unreachable.mark_unreachable(Instant::now(), KIND),
         "the second failure is not new"
     );
-    assert_eq!(unreachable.changes_after(KIND, at(12)), Update::Unavailable);
+    assert_eq!(
+        unreachable.changes_after(Instant::now(), KIND, at(12)),
+        Update::Unavailable
+    );
     let mut follower = reader();
     let subscription = follower.subscribe(KIND);
-    follower.set_direct(KIND, false);
-    assert_eq!(follower.changes_after(KIND, at(12)), Update::Unavailable);
+    follower.set_served(KIND, false);
+    assert_eq!(
+        follower.changes_after(Instant::now(), KIND, at(12)),
+        Update::Unavailable
+    );
     assert!(
         subscription.is_closed(),
         "waiting followers are not notified"
     );
 }
 
+#[test]
+fn only_a_fresh_copy_near_the_store_is_served() {
+    struct Case {
+        name: &'static str,
+        age: Duration,
+        hops: u8,
+        is_served: bool,
+    }
+    let cases = [
+        Case {
+            name: "read from the store",
+            age: Duration::ZERO,
+            hops: 0,
+            is_served: true,
+        },
+        Case {
+            name: "read from a host that reads the store",
+            age: Duration::from_millis(900),
+            hops: 1,
+            is_served: true,
+        },
+        Case {
+            name: "read from a host that follows another one",
+            age: Duration::ZERO,
+            hops: 2,
+            is_served: false,
+        },
+        Case {
+            name: "the store has not answered for long",
+            age: Duration::from_secs(3),
+            hops: 0,
+            is_served: false,
+        },
+        Case {
+            name: "the host that is followed has heard nothing for long",
+            age: Duration::from_secs(3),
+            hops: 1,
+            is_served: false,
+        },
+    ];
+    let read_at = Instant::now();
+    for case in cases {
+        let mut mirror = reader();
+        let origin = Origin {
+            answered_at: read_at,
+            hops: case.hops,
+        };
+        mirror.set_origin(KIND, origin);
+        let now = read_at + case.age;
+        assert_eq!(
+            mirror.is_followable(now, KIND),
+            case.is_served,
+            "{}",
+            case.name
+        );
+        mirror.confirm(now);
+        let is_direct = case.hops == 0;
+        assert_eq!(mirror.reads_store(now, KIND), is_direct, "{}", case.name);
+        let copy = mirror.copy_age(now, KIND);
+        assert_eq!(copy.hops, case.hops, "{}", case.name);
+        let age = if is_direct { Duration::ZERO } else { case.age };
+        assert_eq!(copy.age, age, "{}: the age is the store's", case.name);
+        let followed = Origin::with_copy(now, copy);
+        assert_eq!(followed.age(now), age, "{}", case.name);
+    }
+}
+
 #[test]
 fn watermarks_reveal_missed_writes_and_removals() {
     let mirror = reader();
@@ -130,9 +205,18 @@
         "waiting followers are not notified"
     );
     assert_eq!(mirror.position(KIND), restored);
-    assert_eq!(mirror.changes_after(KIND, at(15)), Update::Compacted);
-    assert_eq!(mirror.changes_after(KIND, at(3)), Update::Compacted);
-    assert_eq!(mirror.changes_after(KIND, restored), Update::Unchanged);
+    assert_eq!(
+        mirror.changes_after(Instant::now(), KIND, at(15)),
+        Update::Compacted
+    );
+    assert_eq!(
+        mirror.changes_after(Instant::now(), KIND, at(3)),
+        Update::Compacted
+    );
+    assert_eq!(
+        mirror.changes_after(Instant::now(), KIND, restored),
+        Update::Unchanged
+    );
     assert!(
         mirror.watermarks()[&KIND] > before,
         "hosts that are behind the new era do not notice"
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions, mostly without connections.
 
 mod cold;
+mod contact;
 mod holdover;
 mod log;
 mod mirror;
--- a/src/gateway/tests/peers.rs
+++ b/src/gateway/tests/peers.rs
@@ -5,7 +5,8 @@
 
 use crate::fleet::{Report, Watermark};
 use crate::gateway::peers::{Message, decode, encode};
-use crate::platform::store::Kind;
+use crate::id::ServiceId;
+use crate::platform::store::{Era, Kind};
 use crate::quarantine::{Key, Record};
 
 fn message(kinds: &[Kind], suspects: usize, era: u64) -> Message {
@@ -32,6 +33,8 @@
             .collect(),
         cannot_read_store: false,
         region_demand: BTreeMap::new(),
+        reads_store: false,
+        store_reader: None,
     }
 }
 
@@ -44,49 +47,63 @@
         suspects: usize,
         era: u64,
         cannot_read_store: bool,
+        reads_store: bool,
+        /// Host that reads the store, as the sender heard
+        store_reader: Option<&'static str>,
     }
+    let none = Case {
+        name: "",
+        kinds: &Kind::ALL,
+        suspects: 0,
+        era: 0,
+        cannot_read_store: false,
+        reads_store: false,
+        store_reader: None,
+    };
     let cases = [
         Case {
             name: "host that read nothing yet",
             kinds: &[],
-            suspects: 0,
-            era: 0,
-            cannot_read_store: false,
+            ..none
         },
         Case {
             name: "all kinds, no news",
-            kinds: &Kind::ALL,
-            suspects: 0,
-            era: 0,
-            cannot_read_store: false,
+            ..none
         },
         Case {
             name: "all kinds and news",
-            kinds: &Kind::ALL,
             suspects: 3,
-            era: 0,
-            cannot_read_store: false,
+            ..none
         },
         Case {
             name: "a store that states its era",
-            kinds: &Kind::ALL,
             suspects: 3,
             era: 4,
-            cannot_read_store: false,
+            ..none
         },
         Case {
             name: "a sender that cannot read the store, which states no era",
-            kinds: &Kind::ALL,
             suspects: 3,
-            era: 0,
             cannot_read_store: true,
+            ..none
         },
         Case {
             name: "a sender that cannot read a store with an era",
-            kinds: &Kind::ALL,
-            suspects: 0,
             era: 4,
             cannot_read_store: true,
+            ..none
+        },
+        Case {
+            name: "a sender that reads the store",
+            reads_store: true,
+            ..none
+        },
+        Case {
+            name: "a sender that cannot read the store and knows who can",
+            era: 4,
+            cannot_read_store: true,
+            store_reader: Some("edge-2"),
+            ..none
         },
     ];
     for case in cases {
@@ -96,6 +113,10 @@
                 true => BTreeMap::from([("portal".into(), 40.5)]),
                 false => BTreeMap::new(),
             },
+            reads_store: case.reads_store,
+            store_reader: case
+                .store_reader
+                .map(|host| (host.into(), Duration::from_millis(1200))),
             ..message(case.kinds, case.suspects, case.era)
         };
         let bytes = encode(&sent);
@@ -110,9 +131,21 @@
         assert_eq!(parsed, (sent.report.clone(), watermarks), "{}", case.name);
         let (_, rest): ((Report, BTreeMap<Kind, Watermark>), _) =
             postcard::take_from_bytes(&bytes).expect("the first part is as before");
-        let (_, suspects): (Option<Watermark>, Vec<(Key, Record)>) =
-            postcard::from_bytes(rest).expect("the second part is as before");
+        type Second = (Option<Watermark>, Vec<(Key, Record)>);
+        let ((_, suspects), rest): (Second, _) =
+            postcard::take_from_bytes(rest).expect("the second part is as before");
         assert_eq!(suspects, sent.suspects, "{}", case.name);
+        if !rest.is_empty() {
+            // The last version read four parts.
+            let (_, rest): (BTreeMap<Kind, Era>, _) =
+                postcard::take_from_bytes(rest).expect("the third part is as before");
+            if !rest.is_empty() {
+                let fourth: (bool, BTreeMap<ServiceId, f32>) =
+                    postcard::from_bytes(rest).expect("the fourth part is as before");
+                let expected = (sent.cannot_read_store, sent.region_demand.clone());
+                assert_eq!(fourth, expected, "{}", case.name);
+            }
+        }
         let earlier = postcard::to_stdvec(&parsed).expect("it is encoded");
         let received = decode(&earlier).expect("the first part is enough");
         assert_eq!(received.report, sent.report, "{}", case.name);
--- a/src/gateway/tests/source.rs
+++ b/src/gateway/tests/source.rs
@@ -94,6 +94,101 @@
     assert!(after.contains(&before[1]), "{after:?}");
 }
 
+/// Guards against a region whose hosts follow each other while the store refuses all of them
+#[test]
+fn hosts_that_the_store_refuses_find_one_that_it_serves() {
+    struct Case {
+        name: &'static str,
+        /// Host that reads the store, and whether it is in the same region
+        reader: u8,
+        is_near: bool,
+        /// Whether readers and followers of this region may read from it
+        expected: (bool, bool),
+    }
+    let cases = [
+        Case {
+            name: "in the region",
+            reader: HOSTS,
+            is_near: true,
+            expected: (true, true),
+        },
+        Case {
+            name: "in another region: the readers pass its copy on",
+            reader: HOSTS,
+            is_near: false,
+            expected: (true, false),
+        },
+    ];
+    for case in cases {
+        for own in 0..HOSTS {
+            let gateway = gateway(own, &all_but(own));
+            let now = Instant::now();
+            {
+                let mut fleet = gateway.fleet.borrow_mut();
+                let region = if case.is_near { "north" } else { "south" };
+                fleet.put(Member {
+                    region: region.into(),
+                    // Not strong enough to be a reader of the region.
+                    weight: 0.1,
+                    ..member(case.reader)
+                });
+                let reader = name(case.reader).as_str().into();
+                fleet.record_store_reader_heard(now - Duration::from_secs(1), &reader);
+            }
+            let address = control_address(case.reader);
+            let is_source = sources(&gateway)
+                .iter()
+                .any(|source| source.address == address);
+            let expected = match is_reader(&gateway) {
+                true => case.expected.0,
+                false => case.expected.1,
+            };
+            assert_eq!(is_source, expected, "{}: host {own}", case.name);
+            let mut fleet = gateway.fleet.borrow_mut();
+            fleet.forget_store_reader(&name(case.reader).as_str().into());
+            drop(fleet);
+            let mut sources = sources(&gateway).into_iter();
+            assert!(sources.all(|source| source.address != address));
+        }
+    }
+}
+
+#[test]
+fn a_host_that_reads_the_store_stays_a_reader() {
+    let gateway = gateway(0, &all_but(0));
+    let now = Instant::now();
+    let rank = || -> Vec<String> {
+        let fleet = gateway.fleet.borrow();
+        let readers = fleet.readers(now, "north", Duration::from_secs(1));
+        readers
+            .iter()
+            .map(|reader| reader.host.to_string())
+            .collect()
+    };
+    let before = rank();
+    let other = (0..HOSTS).map(name).find(|host| !before.contains(host));
+    let other = other.expect("a follower");
+    let record = |host: &str, fails: bool| {
+        let mut fleet = gateway.fleet.borrow_mut();
+        match fails {
+            true => fleet.record_reader_failure(now, &host.into()),
+            false => fleet.record_store_reader(now, &host.into()),
+        }
+    };
+    record(&other, false);
+    assert!(
+        rank().contains(&other),
+        "it reads the store, and the others do not"
+    );
+    before.iter().for_each(|host| record(host, false));
+    assert_eq!(rank().len(), 2);
+    record(&other, true);
+    assert!(
+        !rank().contains(&other),
+        "it cannot read the store any more"
+    );
+}
+
 #[test]
 fn a_starting_host_asks_others_before_the_store() {
     for own in 0..HOSTS {
@@ -241,7 +336,9 @@
         name: &'static str,
         /// Source that is used, `None` for the store, and its number in the list it came from
         used: Option<u8>,
-        index: usize,
+        was_reader: bool,
+        /// Whether the store serves this host
+        is_served: bool,
         sources: &'static [Option<u8>],
         is_replaced: bool,
     }
@@ -249,35 +346,48 @@
         Case {
             name: "the reader stays",
             used: Some(1),
-            index: 0,
+            was_reader: false,
+            is_served: true,
             sources: &[Some(1), Some(2), None],
             is_replaced: false,
         },
         Case {
             name: "the reader is none any more",
             used: Some(1),
-            index: 0,
+            was_reader: false,
+            is_served: false,
             sources: &[Some(2), Some(3), None],
             is_replaced: true,
         },
         Case {
             name: "this host became a reader, and so is the other one",
             used: Some(1),
-            index: 0,
+            was_reader: false,
+            is_served: true,
             sources: &[None, Some(1)],
             is_replaced: true,
         },
+        Case {
+            name: "this host became a reader, but the store refuses it",
+            used: Some(1),
+            was_reader: false,
+            is_served: false,
+            sources: &[None, Some(1)],
+            is_replaced: false,
+        },
         Case {
             name: "a reader that cannot read the store uses the other one",
             used: Some(1),
-            index: 1,
+            was_reader: true,
+            is_served: false,
             sources: &[None, Some(1)],
             is_replaced: false,
         },
         Case {
             name: "the store",
             used: None,
-            index: 2,
+            was_reader: false,
+            is_served: true,
             sources: &[Some(1), Some(2), None],
             is_replaced: false,
         },
@@ -288,7 +398,12 @@
     };
     for case in cases {
         let sources: Vec<_> = case.sources.iter().map(source).collect();
-        let is_replaced = is_replaced(source(&case.used), case.index, &sources);
+        let is_replaced = is_replaced(
+            source(&case.used),
+            case.was_reader,
+            case.is_served,
+            &sources,
+        );
         assert_eq!(is_replaced, case.is_replaced, "{}", case.name);
     }
 }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -12,7 +12,7 @@
 
 use super::apply::{apply_event, apply_list};
 use super::origin::Origin;
-use super::source::{Resync, Source, is_replaced, sources, watch_wait};
+use super::source::{Resync, Source, is_replaced, relayed_watch_wait, sources, watch_wait};
 use super::{Gateway, era, origin};
 use crate::object::Backoff;
 use crate::platform::store::{Consistency, Error, Kind, Position, Session};
@@ -53,13 +53,15 @@
     position: Option<Position>,
     /// Source of the last answer
     answered_by: Option<Source>,
+    /// The same, unless another one is to be tried
+    pinned: Option<Source>,
     /// Index in the list of sources
     source_index: usize,
     /// Number of consecutive failures
     failures: usize,
     /// Whether a call to the store failed since the last success
     has_store_failed: bool,
-    /// Whether a reader answered since the last success that it does not read the store itself
+    /// Whether a host answered since the last success that it has no fresh copy
     is_reader_lost: bool,
     last_failure: Option<Instant>,
 }
@@ -74,6 +76,36 @@
             self.position = None;
         }
     }
+
+    /// Returns to the preferred source some time after a failure, if it may have recovered
+    fn prefer_first(&mut self, sources: &[Source], is_served: bool) {
+        let is_due = self
+            .last_failure
+            .is_some_and(|failed_at| failed_at.elapsed() > PREFERRED_SOURCE_RETRY_DELAY);
+        let is_fed = self.failures == 0;
+        if is_due && (!sources[0].is_store || is_served || !is_fed) {
+            self.source_index = 0;
+            self.last_failure = None;
+        }
+        // The list changes while hosts come and go; a source that was found after a failure stays.
+        if self.last_failure.is_some()
+            && let Some(pinned) = self.pinned
+            && let Some(index) = sources.iter().position(|source| *source == pinned)
+        {
+            self.source_index = index;
+        }
+    }
+
+    /// Chooses the store for a host whose readers cannot read it, once the store is known to serve it
+    fn prefer_store(&mut self, sources: &[Source], is_served: bool) {
+        if self.is_reader_lost
+            && is_served
+            && let Some(index) = sources.iter().position(|source| source.is_store)
+        {
+            self.source_index = index;
+            self.position = None;
+        }
+    }
 }
 
 /// Waits until the list of hosts is read, as one of them may have what this host needs
@@ -84,17 +116,6 @@
     }
 }
 
-/// Waits until this host may call the store
-async fn wait_for_store(gateway: &Gateway) {
-    loop {
-        let wait = gateway.enter_store(Instant::now());
-        if wait.is_zero() {
-            return;
-        }
-        Timer::after(wait.min(STORE_GATE_INTERVAL)).await;
-    }
-}
-
 /// Records a failed call, so that sources are avoided that fail all followers alike
 fn record_source_failure(
     gateway: &Gateway,
@@ -105,7 +126,10 @@
 ) {
     let now = Instant::now();
     if !source.is_store {
+        gateway.mirror.borrow_mut().set_served(kind, false);
         progress.is_reader_lost |= matches!(error, Error::Rejected(_));
+        let mut without_source = gateway.without_source.borrow_mut();
+        without_source.entry(kind).or_insert(now);
         if matches!(error, Error::Unreachable(_)) {
             let mut fleet = gateway.fleet.borrow_mut();
             if let Some(host) = fleet.host_at(source.address) {
@@ -117,8 +141,8 @@
     progress.has_store_failed = true;
     gateway.record_store_error(now, error);
     // Followers go on with what they have while a broken watch is replaced.
-    if progress.failures > 1 {
-        gateway.mirror.borrow_mut().set_direct(kind, false);
+    if progress.failures > 1 || gateway.contact.get().is_lost() {
+        gateway.mirror.borrow_mut().set_served(kind, false);
         let own = gateway.settings.borrow().host.clone();
         gateway.fleet.borrow_mut().record_reader_failure(now, &own);
     }
@@ -153,24 +177,34 @@
     }
     loop {
         let sources = sources(&gateway);
-        if progress
-            .last_failure
-            .is_some_and(|failed_at| failed_at.elapsed() > PREFERRED_SOURCE_RETRY_DELAY)
-        {
-            progress.source_index = 0;
-            progress.last_failure = None;
+        let is_reader = sources[0].is_store;
+        let is_served = gateway.contact.get().is_served(Instant::now());
+        progress.prefer_first(&sources, is_served);
+        if !is_reader {
+            progress.prefer_store(&sources, is_served);
         }
         let source = sources[progress.source_index % sources.len()];
+        if source.is_store {
+            let wait = gateway.enter_store(Instant::now());
+            if !wait.is_zero() {
+                Timer::after(wait.min(STORE_GATE_INTERVAL)).await;
+                // Another host may be able to read it.
+                progress.source_index += 1;
+                progress.pinned = None;
+                continue;
+            }
+        }
         session.set_address(source.address);
         session.set_states_era(!source.is_store);
-        if source.is_store {
-            wait_for_store(&gateway).await;
+        if progress.answered_by != Some(source) {
+            // Nobody may follow this host until the new source has answered.
+            gateway.mirror.borrow_mut().set_served(kind, false);
         }
         let polled = async {
-            Step::Finished(poll_source(&gateway, &mut session, kind, &progress, source).await)
+            let polled = poll_source(&gateway, &mut session, kind, &progress, source, is_reader);
+            Step::Finished(polled.await)
         };
         let is_listing = progress.position.is_none();
-        let source_index = progress.source_index;
         let resync_requested = async {
             if source.is_store && is_listing {
                 // The store's list contains the newer revisions, but may be slow on a busy link.
@@ -190,13 +224,10 @@
                 }
             }
         };
-        let source_replaced = async {
-            while !is_replaced(source, source_index, &self::sources(&gateway)) {
-                Timer::after(SOURCE_CHECK_INTERVAL).await;
-            }
-            Step::SourceReplaced
-        };
+        let source_replaced = source_replaced(&gateway, source, is_reader);
+        count_store_read(&gateway, source, true);
         let result = resync_requested.or(polled).or(source_replaced).await;
+        count_store_read(&gateway, source, false);
         let calls = session.take_call_count();
         if source.is_store {
             gateway.metrics.count_store_calls(kind, calls);
@@ -207,10 +238,12 @@
                     progress.answered_by = Some(source);
                     origin::record_source(&gateway, kind, source);
                 }
+                gateway.without_source.borrow_mut().remove(&kind);
                 backoff.record_success();
                 progress.failures = 0;
                 progress.is_reader_lost = false;
                 progress.has_store_failed = false;
+                progress.pinned = Some(source);
                 progress.position = Some(next);
                 continue;
             }
@@ -224,6 +257,7 @@
                 continue;
             }
             Step::Finished(Err(error)) => {
+                progress.pinned = None;
                 progress.failures += 1;
                 record_source_failure(&gateway, kind, source, &mut progress, &error);
                 if progress.failures >= sources.len() {
@@ -235,13 +269,18 @@
             }
             Step::SourceReplaced => {
                 log::info!("{kind:?}: the followed host is no longer the source");
+                progress.pinned = None;
                 progress.source_index = 0;
                 progress.forget_position_at(self::sources(&gateway)[0]);
                 session.disconnect();
                 continue;
             }
             Step::Resync(resync) => {
-                progress.source_index = index_of(&self::sources(&gateway), resync);
+                // A reader that the store refuses reads again from the host that it follows.
+                if !(resync == Resync::Store && gateway.contact.get().is_lost()) {
+                    progress.pinned = None;
+                    progress.source_index = index_of(&self::sources(&gateway), resync);
+                }
                 progress.last_failure = Some(Instant::now());
                 progress.position = None;
                 session.disconnect();
@@ -250,22 +289,48 @@
         }
         session.disconnect();
         // A watch at the store may break for a transient reason, so it is retried once.
-        if !source.is_store || progress.failures > 1 {
+        let is_lost = gateway.contact.get().is_lost();
+        if !source.is_store || progress.failures > 1 || is_lost {
             progress.source_index += 1;
         }
-        let is_follower = !sources[0].is_store;
         let next = sources[progress.source_index % sources.len()];
         let was_read = gateway.mirror.borrow().was_read(kind);
-        if next.is_store && is_follower && was_read && progress.is_reader_lost {
+        if next.is_store && !is_reader && was_read && progress.is_reader_lost {
             // The readers can be reached, so hosts that can read the store replace them.
             progress.source_index = 0;
-            progress.is_reader_lost = false;
         }
         progress.forget_position_at(sources[progress.source_index % sources.len()]);
         progress.last_failure = Some(Instant::now());
     }
 }
 
+/// Counts the reads under way at the store
+fn count_store_read(gateway: &Gateway, source: Source, begins: bool) {
+    if source.is_store {
+        let reads = gateway.store_reads.get();
+        gateway.store_reads.set(match begins {
+            true => reads + 1,
+            false => reads - 1,
+        });
+    }
+}
+
+/// Completes when a source is to be left, or when the store turns out not to answer
+async fn source_replaced(gateway: &Gateway, source: Source, was_reader: bool) -> Step {
+    loop {
+        Timer::after(SOURCE_CHECK_INTERVAL).await;
+        let contact = gateway.contact.get();
+        if source.is_store && contact.is_lost() {
+            let error = Error::Unresponsive("the store does not answer checks".to_owned());
+            return Step::Finished(Err(error));
+        }
+        let is_served = contact.is_served(Instant::now());
+        if is_replaced(source, was_reader, is_served, &sources(gateway)) {
+            return Step::SourceReplaced;
+        }
+    }
+}
+
 /// Returns how current the list of a kind must be
 ///
 /// A host that starts knows nothing yet, so an older list takes nothing back, and the watch that
@@ -292,6 +357,7 @@
     kind: Kind,
     progress: &Progress,
     source: Source,
+    is_reader: bool,
 ) -> Result<Position, Error> {
     let Some(position) = progress.position else {
         let consistency = list_consistency(gateway, kind, progress, source);
@@ -301,7 +367,7 @@
         }
         era::begin(gateway, kind, position.era, &objects);
         mark_store_regained(gateway, kind, source);
-        set_origin(gateway, session, kind, source);
+        set_origin(gateway, session, kind, source, is_reader);
         let now = Instant::now();
         let mut mirror = gateway.mirror.borrow_mut();
         mirror.replace(now, kind, objects.clone(), position);
@@ -309,11 +375,13 @@
         apply_list(gateway, kind, &objects);
         return Ok(position);
     };
-    let (events, next) = session
-        .watch(kind, position, watch_wait(kind, source.is_store))
-        .await?;
+    let wait = match is_reader && !source.is_store {
+        true => relayed_watch_wait(),
+        false => watch_wait(kind, source.is_store),
+    };
+    let (events, next) = session.watch(kind, position, wait).await?;
     mark_store_regained(gateway, kind, source);
-    set_origin(gateway, session, kind, source);
+    set_origin(gateway, session, kind, source, is_reader);
     gateway
         .mirror
         .borrow_mut()
@@ -330,14 +398,16 @@
     Ok(next)
 }
 
-/// Records from whom the last answer came and how old it is
-fn set_origin(gateway: &Gateway, session: &Session, kind: Kind, source: Source) {
+/// Records from whom the last answer came and how old it is, and whether this host passes it on
+fn set_origin(gateway: &Gateway, session: &Session, kind: Kind, source: Source, is_reader: bool) {
     let now = Instant::now();
     let origin = match source.is_store {
         true => Origin::new(now),
         false => Origin::with_copy(now, session.copy_age().unwrap_or_default()),
     };
-    gateway.mirror.borrow_mut().set_origin(kind, origin);
+    let mut mirror = gateway.mirror.borrow_mut();
+    mirror.set_origin(kind, origin);
+    mirror.set_served(kind, source.is_store || is_reader);
 }
 
 /// Draws the delay after which a follower lists a kind again when all followers of a reader have to
@@ -363,10 +433,6 @@
 
 fn mark_store_regained(gateway: &Gateway, kind: Kind, source: Source) {
     let now = Instant::now();
-    gateway
-        .mirror
-        .borrow_mut()
-        .set_direct(kind, source.is_store);
     if source.is_store {
         gateway.record_store_success();
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -325,6 +325,25 @@
         Ok((events.collect(), Position { era, revision }))
     }
 
+    /// Reads one object, which may be seconds old or not exist, to see whether the store serves calls
+    pub async fn ping(
+        &mut self,
+        kind: Kind,
+        name: &str,
+        timeout_after: Duration,
+    ) -> Result<(), Error> {
+        let path = format!(
+            "/objects/{}/{}?serializable=1",
+            kind.name(),
+            percent_encode(name)
+        );
+        let response = self.call("GET", &path, None, timeout_after).await?;
+        match parse_response(&response) {
+            Ok(_) | Err(Error::NotFound) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
     /// Creates an object; fails with [`Error::Conflict`] if it exists
     pub async fn create(&mut self, kind: Kind, name: &str, spec: &Value) -> Result<(), Error> {
         let path = format!("/objects/{}", kind.name());
