Keep what is known when another host lists less

What callers saw: an evacuation or a drain that a host had heeded was taken back for seconds, when that host changed to another source.

Cause: a list replaces what is known, also one of a host that had heard less in the same era.

Change: a list of another host that was read earlier and has an older newest write, or lacks a removal, is refused, and the next source tried.

--- a/src/gateway/tests/watch.rs
+++ b/src/gateway/tests/watch.rs
@@ -15,7 +15,7 @@
 use crate::gateway::source::Resync;
 use crate::gateway::{Gateway, watch};
 use crate::platform::standin::store::{Faults, Store};
-use crate::platform::store::Kind;
+use crate::platform::store::{Kind, Object, Position};
 use crate::policy::{Document, Limits};
 use crate::retry::Bound;
 
@@ -198,3 +198,80 @@
         running: BTreeMap::new(),
     }
 }
+
+/// Guards against a host that drops what it knows when it changes to a host that heard less
+#[test]
+fn list_of_a_host_that_heard_less_takes_changes_back() {
+    struct Case {
+        name: &'static str,
+        /// Revisions of the listed objects, and the position of the list
+        listed: &'static [u64],
+        era: u64,
+        revision: u64,
+        is_behind: bool,
+    }
+    // Known: two objects, the newest of revision 12, read at revision 20.
+    let cases = [
+        Case {
+            name: "it lacks a write",
+            listed: &[7],
+            era: 1,
+            revision: 10,
+            is_behind: true,
+        },
+        Case {
+            name: "it lacks a removal",
+            listed: &[7, 8, 12],
+            era: 1,
+            revision: 14,
+            is_behind: true,
+        },
+        Case {
+            name: "it has the same, read earlier",
+            listed: &[7, 12],
+            era: 1,
+            revision: 14,
+            is_behind: false,
+        },
+        Case {
+            name: "it was read later",
+            listed: &[7],
+            era: 1,
+            revision: 21,
+            is_behind: false,
+        },
+        Case {
+            name: "the store came back from an older copy",
+            listed: &[7],
+            era: 2,
+            revision: 10,
+            is_behind: false,
+        },
+    ];
+    let object = |revision: &u64| Object {
+        name: format!("o{revision}").into(),
+        revision: *revision,
+        spec: json!({}),
+    };
+    for case in cases {
+        let executor = Rc::new(LocalExecutor::new());
+        let unused_address: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let gateway = Gateway::new(settings("h1", unused_address), executor);
+        let known = [7, 12].iter().map(object).collect();
+        let position = Position {
+            era: 1,
+            revision: 20,
+        };
+        gateway
+            .mirror
+            .borrow_mut()
+            .replace(Instant::now(), Kind::Evacuations, known, position);
+        let listed: Vec<Object> = case.listed.iter().map(object).collect();
+        let position = Position {
+            era: case.era,
+            revision: case.revision,
+        };
+        let is_behind = watch::is_behind(&gateway, Kind::Evacuations, &listed, position);
+        assert_eq!(is_behind, case.is_behind, "{}", case.name);
+    }
+}
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -14,8 +14,9 @@
 use super::origin::Origin;
 use super::source::{Resync, Source, is_replaced, relayed_watch_wait, sources, watch_wait};
 use super::{Gateway, era, origin};
+use crate::fleet::Watermark;
 use crate::object::Backoff;
-use crate::platform::store::{Consistency, Error, Kind, Position, Session};
+use crate::platform::store::{Consistency, Error, Kind, Object, Position, Session};
 
 /// Minimum and maximum backoff after a failed call; a new configuration must be active within two
 /// seconds
@@ -127,7 +128,7 @@
     let now = Instant::now();
     if !source.is_store {
         gateway.mirror.borrow_mut().set_served(kind, false);
-        progress.is_reader_lost |= matches!(error, Error::Rejected(_));
+        progress.is_reader_lost |= matches!(error, Error::Rejected(_) | Error::Behind(_));
         let mut without_source = gateway.without_source.borrow_mut();
         without_source.entry(kind).or_insert(now);
         if matches!(error, Error::Unreachable(_)) {
@@ -365,6 +366,9 @@
         if position.era < gateway.mirror.borrow().era() {
             return Err(Error::OldEra(position.era));
         }
+        if !source.is_store && is_behind(gateway, kind, &objects, position) {
+            return Err(Error::Behind(position.revision));
+        }
         era::begin(gateway, kind, position.era, &objects);
         mark_store_regained(gateway, kind, source);
         set_origin(gateway, session, kind, source, is_reader);
@@ -398,6 +402,18 @@
     Ok(next)
 }
 
+/// Returns whether the list of another host lacks changes that this host has read
+pub fn is_behind(gateway: &Gateway, kind: Kind, listed: &[Object], position: Position) -> bool {
+    let mirror = gateway.mirror.borrow();
+    let known = mirror.position(kind);
+    if position.era != known.era || position.revision >= known.revision {
+        return false;
+    }
+    let written = listed.iter().map(|object| object.revision).max();
+    let listed = Watermark::new(written.unwrap_or(0), listed.len()).with_era(position.era);
+    listed < mirror.watermarks().get(&kind).copied().unwrap_or_default()
+}
+
 /// Records from whom the last answer came and how old it is, and whether this host passes it on
 fn set_origin(gateway: &Gateway, session: &Session, kind: Kind, source: Source, is_reader: bool) {
     let now = Instant::now();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -110,6 +110,8 @@
     NewEra(Era),
     /// the response is of an earlier era, {0}
     OldEra(Era),
+    /// the copy is older than what is known, at revision {0}
+    Behind(u64),
     /// the object does not exist
     NotFound,
     /// the object exists already or has another revision
