Wait until a host knows of the drain before the copy comes back

tests/era_heard.rs took a host for one that had heard of all changes when it knew of the configuration and the evacuation. Changes of endpoints are read in batches, so it may not have heard of the drain, and then nobody had.

--- a/tests/era_heard.rs
+++ b/tests/era_heard.rs
@@ -11,7 +11,10 @@
 use tanagerpier::platform::standin::store::{Copy, Faults, Outage};
 
 use site::proxy::Mode;
-use site::{Site, get_status, wait_until};
+use site::{Site, get, get_status, wait_until};
+
+/// Port of the status of a host, unless its command line states another
+const METRICS_PORT: u16 = 9464;
 
 /// Time within which what any host knows must be in force at all hosts in touch
 const APPLY_TIME: Duration = Duration::from_secs(2);
@@ -58,6 +61,18 @@
     site.store.set_faults(Faults::default());
 }
 
+/// Returns whether a host knows that an endpoint drains
+async fn is_draining(host: SocketAddr, endpoint: &str) -> bool {
+    let Some((200, body)) = get(SocketAddr::new(host.ip(), METRICS_PORT), "/status").await else {
+        return false;
+    };
+    let status: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+    let endpoints = status["endpoints"].as_array();
+    endpoints.into_iter().flatten().any(|entry| {
+        entry["endpoint"].as_str() == Some(endpoint) && entry["draining"] == json!(true)
+    })
+}
+
 /// Returns the number of requests that reached each endpoint
 fn arrivals(site: &Site) -> Vec<usize> {
     let servers = site.servers.iter();
@@ -88,14 +103,13 @@
     site.evacuate("north", json!({"zone": "north"}));
     Timer::after(LOSS_TIME).await;
     let first = case.heard[0];
-    wait_until(
-        "a host has heard of the configuration and the evacuation",
-        || async {
-            let log = site.read_log(first);
-            log.contains("\"event\":\"evacuation\",\"zones\":\"north\"")
-                && get_status(hosts[first], "/added/1", "first").await == Some(200)
-        },
-    )
+    let drained_id = site.servers[drained].endpoint.id().to_owned();
+    wait_until("a host has heard of all changes", || async {
+        let log = site.read_log(first);
+        log.contains("\"event\":\"evacuation\",\"zones\":\"north\"")
+            && is_draining(hosts[first], &drained_id).await
+            && get_status(hosts[first], "/added/1", "first").await == Some(200)
+    })
     .await;
     for _ in 0..case.drills {
         drill(&site, &copy).await;
