Log and count the limits that endpoints state

Cause: neither the decision log nor the metrics say anything of the header Server-Limit, so a host that does not know a limit can't be told from one that keeps it for itself alone.

No decision changes.

--- a/src/gateway/advice.rs
+++ b/src/gateway/advice.rs
@@ -41,6 +41,27 @@
         let fields = [("endpoint", id.as_str().into())];
         gateway.recorder.event("endpoint-leaving", &fields);
     }
+    match header::stated_limit(&head.headers) {
+        None => {}
+        Some(Ok(rate)) => {
+            gateway.metrics.count_stated_limit(true);
+            let fields = [
+                ("endpoint", id.as_str().into()),
+                ("per_second", rate.into()),
+                ("status", head.status.into()),
+            ];
+            gateway.recorder.event("endpoint-limit", &fields);
+        }
+        Some(Err(text)) => {
+            gateway.metrics.count_stated_limit(false);
+            let fields = [
+                ("endpoint", id.as_str().into()),
+                ("text", text.into()),
+                ("reason", "not a number of requests a second".into()),
+            ];
+            gateway.recorder.event("limit-ignored", &fields);
+        }
+    }
     match header::requested_pause(head) {
         None => {}
         Some(Ok(pause)) => pause_endpoint(gateway, now, endpoint, pause),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -31,6 +31,7 @@
     crashes: Counter<u64>,
     broken_off: Counter<u64>,
     new_eras: Counter<u64>,
+    stated_limits: Counter<u64>,
     state_gauge: Gauge<u64>,
 }
 
@@ -76,6 +77,10 @@
                 "pier_gate_store_eras",
                 "Times that the store came back from an older copy, by kind of object",
             ),
+            stated_limits: counter(
+                "pier_gate_stated_limits",
+                "Answers in which endpoints state a limit for all hosts, by whether it is a number",
+            ),
             state_gauge: meter
                 .u64_gauge("pier_gate_state")
                 .with_description("What this host knows and does now, by item")
@@ -120,6 +125,12 @@
         self.new_eras.add(1, &[KeyValue::new("kind", kind.name())]);
     }
 
+    /// Counts an answer in which an endpoint states a limit
+    pub fn count_stated_limit(&self, is_number: bool) {
+        self.stated_limits
+            .add(1, &[KeyValue::new("valid", is_number)]);
+    }
+
     /// Counts calls to the store
     pub fn count_store_calls(&self, kind: Kind, count: u64) {
         if count > 0 {
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -24,6 +24,9 @@
 /// Load of an endpoint as `running,waiting,slots`
 const SERVER_LOAD: &str = "Server-Load";
 
+/// Requests a second that an endpoint takes from all hosts together
+const SERVER_LIMIT: &str = "Server-Limit";
+
 /// Id of the responding endpoint
 const INSTANCE_ID: &str = "Instance-Id";
 
@@ -153,6 +156,20 @@
     ))
 }
 
+/// Returns the requests a second that an endpoint takes from all hosts together, if it states any
+///
+/// Fractions are allowed. The error is a text that is no such number, or the first of several.
+pub fn stated_limit(headers: &Headers) -> Option<Result<f64, &str>> {
+    let mut texts = headers.values(SERVER_LIMIT);
+    let text = texts.next()?;
+    let rate = text.trim().parse().ok();
+    let rate = rate.filter(|rate: &f64| rate.is_finite() && *rate >= 0.0);
+    match rate {
+        Some(rate) if texts.next().is_none() => Some(Ok(rate)),
+        _ => Some(Err(text)),
+    }
+}
+
 /// Returns whether the response carries the signature of an endpoint
 pub fn is_signed(response: &Response) -> bool {
     response.headers.get(SERVER_SIGNATURE).is_some()
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -371,6 +371,35 @@
     }
 }
 
+#[test]
+fn a_limit_is_one_number_of_requests_a_second() {
+    struct Case {
+        head: &'static str,
+        limit: Option<Result<f64, ()>>,
+    }
+    let cases = [
+        ("Server-Limit: 1.4\r\n", Some(Ok(1.4))),
+        ("Server-Limit: 0\r\n", Some(Ok(0.0))),
+        ("Server-Limit:  250 \r\n", Some(Ok(250.0))),
+        ("Server-Limit: 1e300\r\n", Some(Ok(1e300))),
+        ("Server-Limit: -1\r\n", Some(Err(()))),
+        ("Server-Limit: nan\r\n", Some(Err(()))),
+        ("Server-Limit: inf\r\n", Some(Err(()))),
+        ("Server-Limit: many\r\n", Some(Err(()))),
+        ("Server-Limit: \r\n", Some(Err(()))),
+        ("Server-Limit: 1\r\nServer-Limit: 2\r\n", Some(Err(()))),
+        ("", None),
+    ];
+    for (head, limit) in cases {
+        let case = Case { head, limit };
+        let head = format!("HTTP/1.1 200 X\r\n{}\r\n", case.head);
+        let response = Response::parse(head.as_bytes(), "GET").expect("response is valid");
+        let limit = header::stated_limit(&response.headers);
+        let limit = limit.map(|limit| limit.map_err(|_| ()));
+        assert_eq!(limit, case.limit, "{head}");
+    }
+}
+
 #[test]
 fn only_the_endpoint_itself_states_that_it_leaves() {
     for (head, is_leaving) in [
