Failing test: hosts together send an endpoint more than it named

Six hosts in two regions, six endpoints, 600 requests a second. Endpoints name limits of 0 to 10 requests a second from the second second on; from 3 s later, arrivals from hosts that passed a limit on half a second before are counted in windows of 4 s, as the users count, also while hosts are killed, frozen or stopped and while the limit changes.

The load of tests/endpoints.rs moves to tests/site/load.rs, and plays can be collected over several rounds; the stand-in endpoint names limits.

--- a/src/platform/standin/endpoint.rs
+++ b/src/platform/standin/endpoint.rs
@@ -47,6 +47,8 @@
     pub leaving: bool,
     /// Text of the `Retry-After` header with which all requests are turned away
     pub retry_after: Option<&'static str>,
+    /// Text of the `Server-Limit` header of all answers
+    pub server_limit: Option<&'static str>,
 }
 
 /// Fixed properties of an endpoint
@@ -81,6 +83,8 @@
     crashes: Vec<(String, Instant)>,
     /// Attempts that were turned away with a valid `Retry-After`, when, and that time
     wishes: Vec<(String, Instant, Duration)>,
+    /// Attempts whose answers had `Server-Limit`, and when these were sent
+    limit_answers: Vec<(String, Instant)>,
     body_bytes: BTreeMap<String, usize>,
 }
 
@@ -185,6 +189,11 @@
         lock(&self.state).wishes.clone()
     }
 
+    /// Returns the attempts whose answers had `Server-Limit`, and when these were sent
+    pub fn limit_answers(&self) -> Vec<(String, Instant)> {
+        lock(&self.state).limit_answers.clone()
+    }
+
     /// Returns the body size of an executed request
     pub fn request_body_bytes(&self, attempt_id: &str) -> Option<usize> {
         lock(&self.state).body_bytes.get(attempt_id).copied()
@@ -213,6 +222,13 @@
             if lock(&self.state).faults.leaving {
                 insert_header(&mut bytes, "Server-Leaving: 1\r\n");
             }
+            let server_limit = lock(&self.state).faults.server_limit;
+            if let Some(limit) = server_limit {
+                insert_header(&mut bytes, &format!("Server-Limit: {limit}\r\n"));
+                let attempt_id = request.headers.get("Attempt-Id").unwrap_or_default();
+                let answer = (attempt_id.to_owned(), Instant::now());
+                lock(&self.state).limit_answers.push(answer);
+            }
             let deadline = Instant::now() + Duration::from_secs(10);
             let is_complete = bytes.ends_with(BODY_END);
             if connection.write(&bytes, deadline).await.is_err() || !is_complete {
--- /dev/null
+++ b/tests/endpoint_limit.rs
@@ -0,0 +1,217 @@
+//! Endpoints that name the requests a second that they take from all hosts together, behind real
+//! `pier-gate` processes and under steady load.
+
+mod site;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use smol::Timer;
+use tanagerpier::platform::standin::endpoint::Faults;
+
+use site::Site;
+use site::load::{Load, arrivals_by_host};
+
+/// Time after the first answer that names a limit from which on it binds
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// Time after which a host must heed a limit that it passed on
+const HEED_TIME: Duration = Duration::from_millis(500);
+
+/// Span in which arrivals are counted
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Ratio of the limit, and number of requests beyond that, which a window may have
+const TOLERANCE: (f64, f64) = (1.5, 5.0);
+
+/// Number of callers, which send about 600 requests a second in all
+const CALLERS: usize = 30;
+
+/// Duration of the load, and when in it the endpoints begin to name their limits
+const LOAD_TIME: Duration = Duration::from_secs(14);
+const NAMED_AFTER: Duration = Duration::from_secs(1);
+
+/// What happens 5 s after the limits were named
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    None,
+    /// All hosts of a region but one are killed and start again at once
+    Kill,
+    /// A host is frozen for 2.5 s
+    Freeze,
+    /// A host stops as planned and starts again
+    Stop,
+    /// The limit changes to this text
+    Rename(&'static str),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    name: &'static str,
+    limit: &'static str,
+    /// Requests a second that the text of the limit stands for; the highest one if it changes
+    rate: f64,
+    /// Endpoints that name the limit, out of three in each of two regions
+    limited: &'static [usize],
+    event: Event,
+}
+
+const ONE_IN_EACH_REGION: &[usize] = &[0, 3];
+const ALL: &[usize] = &[0, 1, 2, 3, 4, 5];
+
+fn name_limit(site: &Site, case: Case, limit: &'static str) {
+    for server in case.limited {
+        site.servers[*server].endpoint.set_faults(Faults {
+            server_limit: Some(limit),
+            ..Faults::default()
+        });
+    }
+}
+
+async fn play_event(site: &mut Site, case: Case) {
+    match case.event {
+        Event::None => {}
+        Event::Kill => {
+            for gateway in 0..2 {
+                let process = site.gateways[gateway].process.as_mut();
+                process.expect("the host runs").kill();
+                site.start_gateway(gateway);
+            }
+        }
+        Event::Freeze => {
+            let process = site.gateways[0].process.as_ref().expect("the host runs");
+            process.signal("STOP");
+            Timer::after(Duration::from_millis(2500)).await;
+            process.signal("CONT");
+        }
+        Event::Stop => {
+            let process = site.gateways[0].process.as_mut().expect("the host runs");
+            process.signal("TERM");
+            process.exits_successfully(Duration::from_secs(5)).await;
+            site.start_gateway(0);
+        }
+        Event::Rename(limit) => name_limit(site, case, limit),
+    }
+}
+
+/// Returns the time from which on each host is bound by the limit of an endpoint
+fn bound_since(
+    site: &Site,
+    server: usize,
+    hosts: &BTreeMap<String, SocketAddr>,
+) -> BTreeMap<SocketAddr, Instant> {
+    let mut bound_since: BTreeMap<SocketAddr, Instant> = BTreeMap::new();
+    for (id, at) in site.servers[server].endpoint.limit_answers() {
+        if let Some(host) = hosts.get(&id) {
+            let since = bound_since.entry(*host).or_insert(at + HEED_TIME);
+            *since = (*since).min(at + HEED_TIME);
+        }
+    }
+    bound_since
+}
+
+/// Returns the arrivals that count against the limit of an endpoint, in order
+fn counted_arrivals(
+    site: &Site,
+    server: usize,
+    hosts: &BTreeMap<String, SocketAddr>,
+) -> Vec<Instant> {
+    let answers = site.servers[server].endpoint.limit_answers();
+    let Some(named_at) = answers.iter().map(|(_, at)| *at).min() else {
+        return Vec::new();
+    };
+    let bound_since = bound_since(site, server, hosts);
+    let mut counted = Vec::new();
+    for (host, times) in arrivals_by_host(site, server, hosts) {
+        let since = bound_since.get(&host).copied();
+        counted.extend(
+            times.into_iter().filter(|at| {
+                since.is_some_and(|since| *at >= since) && *at >= named_at + STABLE_TIME
+            }),
+        );
+    }
+    counted.sort();
+    counted
+}
+
+/// Returns the largest number of arrivals in a window
+fn most_in_window(arrivals: &[Instant]) -> usize {
+    let in_window = arrivals.iter().enumerate().map(|(first, start)| {
+        let end = arrivals.partition_point(|at| *at < *start + WINDOW);
+        end - first
+    });
+    in_window.max().unwrap_or_default()
+}
+
+async fn play(case: Case) -> Vec<String> {
+    let mut site = Site::start_with_capacity(3, 3, (3, Duration::from_millis(20))).await;
+    (0..site.servers.len()).for_each(|index| site.register_without_proxy(index));
+    Timer::after(Duration::from_millis(300)).await;
+    let mut load = Load::with_callers(&site, LOAD_TIME, CALLERS);
+    Timer::after(NAMED_AFTER).await;
+    name_limit(&site, case, case.limit);
+    Timer::after(Duration::from_secs(5)).await;
+    play_event(&mut site, case).await;
+    let hosts = load.hosts_by_attempt().await;
+    let (ratio, slack) = TOLERANCE;
+    let allowed = case.rate * WINDOW.as_secs_f64() * ratio + slack;
+    let mut broken = Vec::new();
+    let mut most = Vec::new();
+    for server in case.limited {
+        let arrivals = counted_arrivals(&site, *server, &hosts);
+        let in_window = most_in_window(&arrivals);
+        most.push(in_window);
+        if in_window as f64 > allowed {
+            broken.push(format!(
+                "{}: endpoint {server} got {in_window} requests in {WINDOW:?}; allowed {allowed}",
+                case.name
+            ));
+        }
+    }
+    println!(
+        "{}: {most:?} of {allowed}; {:?}",
+        case.name,
+        load.statuses()
+    );
+    broken
+}
+
+// A limit holds for all hosts together, so it has to hold while hosts come and go, too.
+#[test]
+fn hosts_together_send_an_endpoint_more_than_it_named() {
+    let case = |name, limit, rate, limited, event| Case {
+        name,
+        limit,
+        rate,
+        limited,
+        event,
+    };
+    let cases = [
+        case("1 a second", "1", 1.0, ONE_IN_EACH_REGION, Event::None),
+        case("0.2 a second", "0.2", 0.2, ONE_IN_EACH_REGION, Event::None),
+        case("none", "0", 0.0, ONE_IN_EACH_REGION, Event::None),
+        case("10 a second at all", "10", 10.0, ALL, Event::None),
+        case(
+            "hosts are killed",
+            "1",
+            1.0,
+            ONE_IN_EACH_REGION,
+            Event::Kill,
+        ),
+        case("a host is frozen", "4.5", 4.5, ALL, Event::Freeze),
+        case("a host stops", "1.4", 1.4, ALL, Event::Stop),
+        case(
+            "it changes",
+            "0.5",
+            2.0,
+            ONE_IN_EACH_REGION,
+            Event::Rename("2"),
+        ),
+    ];
+    // Two at a time: each deployment has six processes.
+    let pairs = cases.chunks(2);
+    let broken = pairs.flat_map(|pair| site::collect(pair.iter().copied().map(play)));
+    let broken: Vec<String> = broken.collect();
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/tests/endpoints.rs
+++ b/tests/endpoints.rs
@@ -12,7 +12,7 @@
 use tanagerpier::platform::standin::endpoint::Faults;
 use tanagerpier::platform::standin::store;
 
-use site::client::{self, AttemptLog};
+use site::load::{Load, arrivals_by_host};
 use site::{HOST_NAME, Site};
 
 /// Time after which a leaving endpoint may get no further request from a host
@@ -37,75 +37,6 @@
 /// Time within which a request must be refused that cannot be served
 const REFUSE_TIME: Duration = Duration::from_millis(400);
 
-/// Steady load of a deployment, at all its hosts
-struct Load {
-    log: AttemptLog,
-    hosts: Vec<SocketAddr>,
-    clients: Vec<smol::Task<()>>,
-}
-
-impl Load {
-    fn new(site: &Site, duration: Duration) -> Self {
-        let log = AttemptLog::default();
-        let end = Instant::now() + duration;
-        let hosts: Vec<SocketAddr> = site
-            .gateways
-            .iter()
-            .map(|gateway| SocketAddr::new(gateway.ip, 8161))
-            .collect();
-        let pause = Duration::from_millis(30);
-        let clients = (0..16).map(|number| {
-            let host = hosts[number % hosts.len()];
-            let log = log.clone();
-            smol::spawn(client::send_requests(host, number as u64, end, pause, log))
-        });
-        Self {
-            clients: clients.collect(),
-            log,
-            hosts,
-        }
-    }
-
-    /// Waits until the load ends; returns the host of each attempt
-    async fn hosts_by_attempt(&mut self) -> BTreeMap<String, SocketAddr> {
-        for client in std::mem::take(&mut self.clients) {
-            client.await;
-        }
-        let attempts = self.log.lock().expect("no client panicked").clone();
-        let hosts = attempts.into_iter();
-        hosts.map(|attempt| (attempt.id, attempt.gateway)).collect()
-    }
-
-    /// Returns the statuses of all attempts with their numbers
-    fn statuses(&self) -> BTreeMap<String, usize> {
-        let mut statuses = BTreeMap::new();
-        for attempt in self.log.lock().expect("no client panicked").iter() {
-            let status = match attempt.result {
-                Ok(status) => status.to_string(),
-                Err(reason) => reason.to_owned(),
-            };
-            *statuses.entry(status).or_default() += 1;
-        }
-        statuses
-    }
-}
-
-/// Returns the arrival times at an endpoint, by the host that sent the request
-fn arrivals_by_host(
-    site: &Site,
-    server: usize,
-    hosts: &BTreeMap<String, SocketAddr>,
-) -> BTreeMap<SocketAddr, Vec<Instant>> {
-    let mut arrivals: BTreeMap<SocketAddr, Vec<Instant>> = BTreeMap::new();
-    for (id, times) in site.servers[server].endpoint.arrivals() {
-        if let Some(host) = hosts.get(&id) {
-            arrivals.entry(*host).or_default().extend(times);
-        }
-    }
-    arrivals.values_mut().for_each(|times| times.sort());
-    arrivals
-}
-
 /// Sends a request; returns the status, the stated delay of a retry, and the time that it took
 async fn send(host: SocketAddr, id: &str) -> Option<(u16, Option<f64>, Duration)> {
     let request = format!(
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code)]
 
 pub mod client;
+pub mod load;
 mod play;
 pub mod process;
 pub mod proxy;
@@ -26,7 +27,7 @@
 
 // Some test binaries start their deployments one by one.
 #[allow(unused_imports)]
-pub use play::play_all;
+pub use play::{collect, play_all};
 use process::Process;
 use proxy::Proxy;
 
--- a/tests/site/play.rs
+++ b/tests/site/play.rs
@@ -35,12 +35,19 @@
 
 /// Plays deployments side by side; panics with what they report as broken
 pub fn play_all(plays: impl Iterator<Item = impl Future<Output = Vec<String>> + Send + 'static>) {
+    let broken = collect(plays);
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+/// Plays deployments side by side; returns what they report as broken
+pub fn collect(
+    plays: impl Iterator<Item = impl Future<Output = Vec<String>> + Send + 'static>,
+) -> Vec<String> {
     let plays: Vec<_> = plays
         .map(|play| std::thread::spawn(move || run_play(play)))
         .collect();
-    let broken: Vec<String> = plays
+    plays
         .into_iter()
         .flat_map(|play| play.join().expect("the deployment runs"))
-        .collect();
-    assert!(broken.is_empty(), "{}", broken.join("\n"));
+        .collect()
 }
