Keep the limit that an endpoint names for all hosts together

Cause: no host read Server-Limit. What an endpoint states was heeded by each host for itself, and a bound on a sum over hosts had a rule of its own each time (cold endpoints, repeats, shares); for this one there was none.

Change: one host of the endpoint's region, the first by rendezvous hash among the live ones, hands out permits, each for one request and for 300 ms from when it was asked for, from a bucket of the endpoint's rate (slice `limit`, `fleet::owner`). A host that becomes the owner waits 1.5 s and begins with nothing saved; one that was paused begins anew. Permits are checked again right before sending. Repeats and health checks need one, too. Of two statements the later one counts; owners tell limits in their reports, and a host that starts asks for them with what others hold. Slots that a limit leaves idle do not count for a region. Texts that are no number are logged and counted.

Why this works: the sum is decided in one place at a time, and a decision of the previous one ends before the next one begins.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -19,12 +19,14 @@
 use crate::util::stable_hash;
 
 mod lag;
+mod owner;
 mod readers;
 
 #[cfg(test)]
 mod tests;
 
 pub use lag::{LAG_TOLERANCE, LagDetector, Watermark};
+pub use owner::{Electorate, Owner};
 pub use readers::READERS_PER_REGION;
 
 /// Number of ring successors that each host pings; enough that neighbors rarely fail together
@@ -36,12 +38,26 @@
 /// How long a watched host may be silent before it counts as failed: five lost pings
 pub const PING_TIMEOUT: Duration = Duration::from_millis(2600);
 
+/// Number of hosts up to which load is reported to the whole fleet
+pub const SMALL_FLEET_HOSTS: usize = 24;
+
+/// Base interval of load reports within a region
+const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval added for each further host of the region, so that the cost per host stays bounded
+const LOAD_REPORT_INTERVAL_PER_HOST: Duration = Duration::from_millis(8);
+
 /// How long removed hosts are remembered; longer than a copy of the store is old
 const REMOVED_TTL: Duration = Duration::from_secs(60);
 
 /// How long a demand report stays valid
 const DEMAND_REPORT_TTL: Duration = Duration::from_secs(4);
 
+/// Returns the interval between two load reports to `hosts` hosts
+pub fn load_report_interval(hosts: usize) -> Duration {
+    LOAD_REPORT_INTERVAL + LOAD_REPORT_INTERVAL_PER_HOST * hosts as u32
+}
+
 /// Entry of a host in the store
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -86,6 +102,10 @@
     own: HostId,
     members: BTreeMap<HostId, Member>,
     last_heard: BTreeMap<HostId, Instant>,
+    /// When this host first saw the entry of each member
+    listed_at: BTreeMap<HostId, Instant>,
+    /// Members whose entries were removed lately, and when
+    departed: BTreeMap<HostId, (Member, Instant)>,
     /// Watched hosts, and when their timeout last restarted
     watched_since: BTreeMap<HostId, Instant>,
     demand_reports: BTreeMap<HostId, (Instant, RegionId, BTreeMap<ServiceId, f32>)>,
@@ -119,7 +139,7 @@
     }
 
     /// Replaces all members with the result of a full read
-    pub fn replace(&mut self, members: Vec<Member>) {
+    pub fn replace(&mut self, now: Instant, members: Vec<Member>) {
         let outdated: Vec<HostId> = match std::mem::take(&mut self.is_restoring) {
             true => {
                 let is_outdated = |member: &&Member| {
@@ -131,10 +151,18 @@
             }
             false => Vec::new(),
         };
-        self.members = members
+        let members: BTreeMap<HostId, Member> = members
             .into_iter()
             .map(|member| (member.host.clone(), member))
             .collect();
+        let previous = std::mem::replace(&mut self.members, members);
+        for member in previous.into_values() {
+            if !self.members.contains_key(&member.host) {
+                self.record_departure(now, member);
+            }
+        }
+        let hosts: Vec<HostId> = self.members.keys().cloned().collect();
+        hosts.iter().for_each(|host| self.record_listing(now, host));
         // A removed host that registers again gets a full timeout to report.
         let members = &self.members;
         self.last_heard.retain(|host, _| members.contains_key(host));
@@ -147,8 +175,9 @@
     }
 
     /// Adds or updates one member
-    pub fn put(&mut self, member: Member) {
+    pub fn put(&mut self, now: Instant, member: Member) {
         self.unresponsive.remove(&member.host);
+        self.record_listing(now, &member.host);
         self.members.insert(member.host.clone(), member);
     }
 
@@ -164,7 +193,24 @@
         self.last_heard.remove(host);
         self.watched_since.remove(host);
         self.unresponsive.remove(host);
-        self.members.remove(host).is_some()
+        let Some(member) = self.members.remove(host) else {
+            return false;
+        };
+        self.record_departure(now, member);
+        true
+    }
+
+    fn record_listing(&mut self, now: Instant, host: &HostId) {
+        self.departed.remove(host);
+        self.listed_at.entry(host.clone()).or_insert(now);
+    }
+
+    fn record_departure(&mut self, now: Instant, member: Member) {
+        self.listed_at.remove(&member.host);
+        self.departed
+            .retain(|_, (_, departed_at)| now < *departed_at + REMOVED_TTL);
+        let departure = (member.host.clone(), (member, now));
+        self.departed.extend([departure]);
     }
 
     /// Marks a host as silent, even if the store still lists it
@@ -206,6 +252,13 @@
         member.is_some_and(|member| member.peer.ip() == ip)
     }
 
+    /// Whether an IP address is the one of a listed host, or of one that was listed lately
+    pub fn is_known_address(&self, host: &HostId, ip: IpAddr) -> bool {
+        let departed = self.departed.get(host);
+        self.is_member_address(host, ip)
+            || departed.is_some_and(|(member, _)| member.peer.ip() == ip)
+    }
+
     /// Returns the hosts that this one watches: its successors on the ring of hashed names
     pub fn successors(&self) -> Vec<&Member> {
         let position = |host: &HostId| (stable_hash(host), host.clone());
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -24,7 +24,7 @@
     let mut fleet = Fleet::new(own.into());
     let members =
         (0..host_count).map(|i| member(&format!("h{i}"), if i % 2 == 0 { "a" } else { "b" }, 1));
-    fleet.replace(members.collect());
+    fleet.replace(Instant::now(), members.collect());
     fleet
 }
 
@@ -110,13 +110,13 @@
             .into_iter()
             .filter(|member| !removed.contains(member));
         if by_full_read {
-            fleet.replace(remaining.collect());
+            fleet.replace(Instant::now(), remaining.collect());
             let all = fleet.members().cloned().chain(removed.iter().cloned());
-            fleet.replace(all.collect());
+            fleet.replace(Instant::now(), all.collect());
         } else {
             for member in &removed {
                 fleet.remove(Instant::now(), &member.host);
-                fleet.put(member.clone());
+                fleet.put(Instant::now(), member.clone());
             }
         }
         assert!(
@@ -240,7 +240,7 @@
             },
             ..member(&format!("h{i}"), "a", i)
         });
-        fleet.replace(members.collect());
+        fleet.replace(Instant::now(), members.collect());
         for i in 0..20 {
             fleet.record_report(now, &report(&format!("h{i}")));
         }
@@ -257,7 +257,7 @@
     let mut members: Vec<Member> = (0..10).map(|i| member(&format!("h{i}"), "a", i)).collect();
     members[0].weight = 10.0;
     members.push(member("far", "b", 99));
-    fleet.replace(members);
+    fleet.replace(Instant::now(), members);
     let mut rng = fastrand::Rng::with_seed(1);
     let mut counts = [0; 100];
     for _ in 0..1000 {
@@ -403,7 +403,7 @@
             incarnation: 1,
             ..member("b", "r", 2)
         };
-        fleet.put(gone.clone());
+        fleet.put(Instant::now(), gone.clone());
         fleet.remove(now, &gone.host);
         if case.is_restoring {
             fleet.begin_restore(now);
@@ -412,7 +412,7 @@
             incarnation: case.incarnation,
             ..gone
         };
-        fleet.replace(vec![listed]);
+        fleet.replace(Instant::now(), vec![listed]);
         let offered = |fleet: &Fleet| {
             let mut rng = fastrand::Rng::with_seed(1);
             !fleet.sample_addresses("r", 8, &mut rng).is_empty()
--- a/src/gateway/advice.rs
+++ b/src/gateway/advice.rs
@@ -1,11 +1,13 @@
-//! What endpoints state about themselves in their answers: load, warm-up, that they leave, and that
-//! they want no requests for a while.
+//! What endpoints state about themselves in their answers: load, warm-up, that they leave, that they
+//! want no requests for a while, and how many requests they take.
 //!
 //! Each host heeds what it was told itself. Telling the others does not pay: an endpoint that leaves
-//! answers each of them the same, and its entry in the store follows.
+//! answers each of them the same, and its entry in the store follows. Only a limit on the requests of
+//! all hosts together needs them to agree (`super::limit`).
 
 use std::time::{Duration, Instant};
 
+use super::limit::Permit;
 use super::{Gateway, record};
 use crate::catalog::Endpoint;
 use crate::message::Response;
@@ -41,37 +43,38 @@
         let fields = [("endpoint", id.as_str().into())];
         gateway.recorder.event("endpoint-leaving", &fields);
     }
-    match header::stated_limit(&head.headers) {
+    heed_limit(gateway, now, endpoint, head);
+    match header::requested_pause(head) {
         None => {}
-        Some(Ok(rate)) => {
-            gateway.metrics.count_stated_limit(true);
-            let fields = [
-                ("endpoint", id.as_str().into()),
-                ("per_second", rate.into()),
-                ("status", head.status.into()),
-            ];
-            gateway.recorder.event("endpoint-limit", &fields);
-        }
+        Some(Ok(pause)) => pause_endpoint(gateway, now, endpoint, pause),
         Some(Err(text)) => {
-            gateway.metrics.count_stated_limit(false);
             let fields = [
                 ("endpoint", id.as_str().into()),
                 ("text", text.into()),
-                ("reason", "not a number of requests a second".into()),
+                ("reason", "not a number of seconds".into()),
             ];
-            gateway.recorder.event("limit-ignored", &fields);
+            gateway.recorder.event("pause-ignored", &fields);
         }
     }
-    match header::requested_pause(head) {
-        None => {}
-        Some(Ok(pause)) => pause_endpoint(gateway, now, endpoint, pause),
+}
+
+fn heed_limit(gateway: &Gateway, now: Instant, endpoint: &Endpoint, head: &Response) {
+    match header::stated_limit(&head.headers) {
+        // Other answers may come from something that does not know the limit.
+        None if !(200..300).contains(&head.status) => {}
+        None => gateway.record_limit(now, endpoint, None),
+        Some(Ok(rate)) => {
+            gateway.metrics.count_stated_limit(true);
+            gateway.record_limit(now, endpoint, Some(rate));
+        }
         Some(Err(text)) => {
+            gateway.metrics.count_stated_limit(false);
             let fields = [
-                ("endpoint", id.as_str().into()),
+                ("endpoint", endpoint.id.as_str().into()),
                 ("text", text.into()),
-                ("reason", "not a number of seconds".into()),
+                ("reason", "not a number of requests a second".into()),
             ];
-            gateway.recorder.event("pause-ignored", &fields);
+            gateway.recorder.event("limit-ignored", &fields);
         }
     }
 }
@@ -97,12 +100,14 @@
 }
 
 /// Returns whether a request that was meant for an endpoint may still be sent to it
-pub fn may_send(gateway: &Gateway, endpoint: &Endpoint) -> bool {
+pub fn may_send(gateway: &Gateway, endpoint: &Endpoint, permit: Permit) -> bool {
     let now = Instant::now();
     let is_paused = gateway
         .pool
         .borrow()
         .pause_remaining(now, &endpoint.id)
         .is_some();
-    !is_paused && gateway.catalog.borrow().may_use_leaving(now, endpoint)
+    !is_paused
+        && gateway.limits.allows(now, endpoint, permit)
+        && gateway.catalog.borrow().may_use_leaving(now, endpoint)
 }
--- a/src/gateway/apply.rs
+++ b/src/gateway/apply.rs
@@ -29,7 +29,7 @@
         Kind::Evacuations => apply_evacuations(gateway),
         Kind::Hosts => {
             let list = objects.iter().filter_map(record::decode_member).collect();
-            gateway.fleet.borrow_mut().replace(list);
+            gateway.fleet.borrow_mut().replace(now, list);
         }
         Kind::Quarantine => quarantine::apply_list(gateway, objects),
     }
@@ -59,7 +59,7 @@
         (Kind::Endpoints, event) => apply_endpoint(gateway, event),
         (Kind::Evacuations, _) => apply_evacuations(gateway),
         (Kind::Hosts, Event::Put(object)) => match record::decode_member(&object) {
-            Some(member) => gateway.fleet.borrow_mut().put(member),
+            Some(member) => gateway.fleet.borrow_mut().put(Instant::now(), member),
             None => log::warn!("cannot read the entry of host {}", object.name),
         },
         (Kind::Hosts, Event::Removed(name)) => {
--- a/src/gateway/era.rs
+++ b/src/gateway/era.rs
@@ -187,6 +187,7 @@
         true => gateway.settings.borrow().restore_time,
         false => catalog.restore_remaining(now),
     };
+    report.limits = gateway.all_limits(now);
     report
 }
 
@@ -198,6 +199,7 @@
         .catalog
         .borrow_mut()
         .adopt_withdrawn(now, withdrawn, report.restore_remaining);
+    gateway.record_limit_news(now, &report.limits);
     let mut holdover = gateway.holdover.borrow_mut();
     holdover.adopt(now, report);
     let mirror = gateway.mirror.borrow();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -11,6 +11,7 @@
 use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
 
+use super::limit::Permit;
 use super::stream::{self, RemainingBody};
 use super::upload::{SendError, Upload};
 use super::{Gateway, advice};
@@ -92,6 +93,7 @@
     route: RouteId,
     rank: Option<usize>,
     started: Instant,
+    permit: Permit,
     finished: bool,
 }
 
@@ -102,6 +104,7 @@
         endpoint: Endpoint,
         route: RouteId,
         rank: Option<usize>,
+        permit: Permit,
     ) -> Self {
         let started = Instant::now();
         gateway.pool.borrow_mut().start(started, &endpoint.id);
@@ -111,6 +114,7 @@
             route,
             rank,
             started,
+            permit,
             finished: false,
         }
     }
@@ -255,7 +259,6 @@
     limits: Limits,
 ) -> Result<(Connection, Response, bool), Failure> {
     let address = in_flight.endpoint.address;
-    let service = &in_flight.endpoint.service;
     let max_idle = if limits.idempotent {
         Duration::MAX
     } else {
@@ -271,25 +274,33 @@
         && upload.can_resend()
         && idle.is_idle().await
     {
+        if !advice::may_send(gateway, &in_flight.endpoint, in_flight.permit) {
+            return Err(Failure::Withheld);
+        }
         let sent = send(idle, in_flight, request, upload, limits).await;
         // The endpoint may close an idle connection while the request is being sent on it.
-        match sent {
-            Err(Failure::Broken(error))
-                if limits.idempotent
-                    && upload.can_resend()
-                    && gateway.allow_retry(Instant::now(), service) =>
-            {
-                let attempt_id = header::attempt_id(&request.headers).unwrap_or("-");
-                let fields = [
-                    ("id", attempt_id.into()),
-                    ("endpoint", in_flight.endpoint.id.as_str().into()),
-                    ("error", error.as_str().into()),
-                ];
-                gateway.recorder.event("sent-again", &fields);
-                broken = Some(error);
-            }
+        let error = match sent {
+            Err(Failure::Broken(error)) => error,
             sent => return sent,
+        };
+        let may_send_again = limits.idempotent
+            && upload.can_resend()
+            && gateway.allow_retry(Instant::now(), &in_flight.endpoint.service);
+        if !may_send_again {
+            return Err(Failure::Broken(error));
         }
+        let Some(permit) = gateway.acquire_permit(&in_flight.endpoint).await else {
+            return Err(Failure::Broken(error));
+        };
+        in_flight.permit = permit;
+        let attempt_id = header::attempt_id(&request.headers).unwrap_or("-");
+        let fields = [
+            ("id", attempt_id.into()),
+            ("endpoint", in_flight.endpoint.id.as_str().into()),
+            ("error", error.as_str().into()),
+        ];
+        gateway.recorder.event("sent-again", &fields);
+        broken = Some(error);
     }
     let limit = CONNECT_TIMEOUT.min(limits.deadline.saturating_duration_since(Instant::now()));
     let connection = Connection::connect(address, limit).await;
@@ -307,7 +318,7 @@
     })?;
     gateway.metrics.count_connection();
     // The answer to another request may have come meanwhile.
-    if !advice::may_send(gateway, &in_flight.endpoint) {
+    if !advice::may_send(gateway, &in_flight.endpoint, in_flight.permit) {
         let mut idle_connections = gateway.idle_connections.borrow_mut();
         idle_connections.put(Instant::now(), address, connection, None);
         return Err(match broken {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::exchange::{self, EndpointAnswer, Failure, InFlight, Limits};
+use super::limit::Permit;
 use super::reply::{Refusal, Reply};
 use super::upload::Upload;
 use super::{Gateway, quarantine, record};
@@ -18,12 +19,18 @@
 use crate::quarantine::Keys;
 use crate::region::MISPLACED_KEY_COST_SECONDS;
 
+mod refusal;
+
 /// Timeout of a request if neither the caller nor the route states one
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Maximum number of attempts that certainly did not run, in addition to those that ran
 const MAX_NOT_RUN_ATTEMPTS: u32 = 2;
 
+/// Number of endpoints that a request asks in vain for a place within their limits, before it goes to
+/// those without a limit
+const MAX_PERMIT_DENIALS: u32 = 3;
+
 /// Extra cost of an endpoint in another region, in seconds; about a round trip between regions
 const REMOTE_REGION_SECONDS: f64 = 0.025;
 
@@ -50,6 +57,7 @@
     tried_endpoints: Vec<EndpointId>,
     run_attempts: u32,
     not_run_attempts: u32,
+    permit_denials: u32,
     may_have_run: bool,
     estimate: Option<(usize, Duration, Duration)>,
 }
@@ -126,6 +134,7 @@
         tried_endpoints: Vec::new(),
         run_attempts: 0,
         not_run_attempts: 0,
+        permit_denials: 0,
         may_have_run: false,
         estimate: None,
     })
@@ -155,7 +164,11 @@
             if self.tried_endpoints.is_empty() && now + choice.expected_time >= self.deadline {
                 return self.refuse("no room", choice.expected_wait);
             }
-            let failure = match self.attempt(upload, endpoint, &choice).await {
+            let Some(permit) = self.gateway.acquire_permit(&endpoint).await else {
+                self.permit_denials += 1;
+                continue;
+            };
+            let failure = match self.attempt(upload, endpoint, &choice, permit).await {
                 Ok(answer) => match self.evaluate(answer, upload) {
                     Ok(reply) => return reply,
                     Err(failure) => failure,
@@ -236,6 +249,7 @@
             let is_excluded = !excluded_runs.is_empty() && excluded_runs.contains(&endpoint.run());
             if is_allowed
                 && !is_excluded
+                && self.fits_limit(now, endpoint)
                 && (!catalog.is_cold(now, &endpoint.id) || gateway.may_use_cold(now, endpoint))
             {
                 regions.entry(&endpoint.region).or_default().push(endpoint);
@@ -260,6 +274,13 @@
         chosen.collect()
     }
 
+    /// Returns whether an endpoint may have room within its limit, if it has one
+    fn fits_limit(&self, now: Instant, endpoint: &Endpoint) -> bool {
+        let limits = &self.gateway.limits;
+        limits.withheld_for(now, endpoint).is_none()
+            && (self.permit_denials < MAX_PERMIT_DENIALS || limits.rate(endpoint).is_none())
+    }
+
     /// Returns the usual duration of this route's requests in the selected region
     fn usual_duration(&self, select: impl Fn(&ServiceTime) -> f64) -> Duration {
         let pool = self.gateway.pool.borrow();
@@ -276,6 +297,7 @@
         upload: &mut Upload<'_>,
         endpoint: Endpoint,
         choice: &Choice,
+        permit: Permit,
     ) -> Result<EndpointAnswer, Failure> {
         let target = endpoint.clone();
         self.tried_endpoints.push(endpoint.id.clone());
@@ -288,7 +310,13 @@
             idempotent: self.is_idempotent(),
         };
         let rank = self.affinity_key.map(|_| choice.rank);
-        let in_flight = InFlight::new(self.gateway, endpoint, self.route.name.clone(), rank);
+        let in_flight = InFlight::new(
+            self.gateway,
+            endpoint,
+            self.route.name.clone(),
+            rank,
+            permit,
+        );
         let running = quarantine::Running::new(self.gateway, self.quarantine_keys, target.run());
         let can_resend = upload.can_resend();
         let result = {
@@ -425,69 +453,4 @@
         }
         self.gateway.allow_retry(now, &self.service)
     }
-
-    fn give_up(&mut self, failure: Failure) -> Reply {
-        let may_have_run =
-            self.may_have_run || matches!(failure, Failure::TimedOut if self.run_attempts > 0);
-        if !may_have_run || (self.is_idempotent() && failure.is_not_run()) {
-            if let Some(pause) = self.shortest_pause(Instant::now()) {
-                return self.refuse_paused(pause);
-            }
-            let retry_after = self.usual_duration(ServiceTime::mean);
-            return self.refuse("endpoints did not run it", retry_after);
-        }
-        let status = match failure {
-            Failure::TimedOut | Failure::Abandoned => 504,
-            _ => 502,
-        };
-        self.record_result(&failure.to_string(), status);
-        Reply::Local(Refusal::new(status, "unknown whether it ran"))
-    }
-
-    /// Returns the shortest pause of the endpoints that could serve the request, if all of them pause
-    fn shortest_pause(&self, now: Instant) -> Option<Duration> {
-        let catalog = self.gateway.catalog.borrow();
-        let pool = self.gateway.pool.borrow();
-        let allowed = &self.route.allowed_regions;
-        let pauses: Option<Vec<Duration>> = catalog
-            .usable(now, &self.service)
-            .filter(|endpoint| allowed.is_empty() || allowed.contains(&endpoint.region))
-            .map(|endpoint| pool.pause_remaining(now, &endpoint.id))
-            .collect();
-        pauses?.into_iter().min()
-    }
-
-    fn refuse_paused(&mut self, pause: Duration) -> Reply {
-        let reason = "endpoints asked for no requests";
-        self.record_result(reason, 503);
-        Reply::Local(Refusal::not_before(reason, pause))
-    }
-
-    fn refuse(&mut self, reason: &'static str, wait: Duration) -> Reply {
-        self.record_result(reason, 503);
-        Reply::Local(Refusal::not_run(reason, wait))
-    }
-
-    fn record_result(&self, outcome: &str, status: u16) {
-        let duration = self.arrived.elapsed();
-        self.gateway
-            .metrics
-            .observe_request(&self.route.name, status, duration);
-        self.gateway.recorder.request(&record::Request {
-            attempt_id: header::attempt_id(&self.request.headers).unwrap_or("-"),
-            key: Some(self.quarantine_keys.exact()),
-            route: &self.route.name,
-            service: &self.service,
-            status,
-            outcome,
-            duration,
-            tried_endpoints: &self.tried_endpoints,
-            region: self.region.as_deref().unwrap_or("-"),
-            estimate: self.estimate,
-            time_left: self.deadline.saturating_duration_since(Instant::now()),
-            version: self.gateway.configuration_version(),
-            store_unreachable: self.gateway.mirror.borrow().is_store_unreachable(),
-            store_age: self.gateway.configuration_age(),
-        });
-    }
 }
--- a/src/gateway/holdover.rs
+++ b/src/gateway/holdover.rs
@@ -10,6 +10,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use super::datagram::LimitNews;
 use crate::catalog::Endpoint;
 use crate::platform::record;
 use crate::platform::store::{Event, Kind, Object};
@@ -74,6 +75,9 @@
     pub restore_remaining: Duration,
     /// Whether the host knows what was in force before the store's current era
     pub is_witness: bool,
+    /// Limits of endpoints; hosts of earlier versions tell none
+    #[serde(default)]
+    pub limits: Vec<LimitNews>,
 }
 
 impl Holdover {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -10,6 +10,7 @@
 
 use super::Gateway;
 use super::record::millis;
+use crate::limit::Verdict;
 use crate::operator::metrics::{encode, exporter};
 use crate::platform::store::Kind;
 use crate::quarantine::CRASH_THRESHOLD;
@@ -32,6 +33,7 @@
     broken_off: Counter<u64>,
     new_eras: Counter<u64>,
     stated_limits: Counter<u64>,
+    permits: Counter<u64>,
     state_gauge: Gauge<u64>,
 }
 
@@ -81,6 +83,10 @@
                 "pier_gate_stated_limits",
                 "Answers in which endpoints state a limit for all hosts, by whether it is a number",
             ),
+            permits: counter(
+                "pier_gate_permits",
+                "Requests for a place within an endpoint's limit, by verdict",
+            ),
             state_gauge: meter
                 .u64_gauge("pier_gate_state")
                 .with_description("What this host knows and does now, by item")
@@ -131,6 +137,17 @@
             .add(1, &[KeyValue::new("valid", is_number)]);
     }
 
+    /// Counts the verdict on a request for a place within an endpoint's limit
+    pub fn count_permit(&self, verdict: Verdict) {
+        let verdict = match verdict {
+            Verdict::Granted => "granted",
+            Verdict::Exhausted(_) => "exhausted",
+            Verdict::NotOwner => "undecided",
+            Verdict::Unlimited => "unlimited",
+        };
+        self.permits.add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
     /// Counts calls to the store
     pub fn count_store_calls(&self, kind: Kind, count: u64) {
         if count > 0 {
@@ -159,6 +176,8 @@
         let pool = gateway.pool.borrow();
         let catalog = gateway.catalog.borrow();
         let endpoints = catalog.endpoints().map(|endpoint| {
+            let limit = gateway.limits.rate(endpoint);
+            let owner = limit.and_then(|_| gateway.permit_owner(now, endpoint));
             let endpoint_state = pool.endpoint(&endpoint.id);
             json!({
                 "endpoint": endpoint.id,
@@ -169,6 +188,8 @@
                 "cold": catalog.is_cold(now, &endpoint.id),
                 "running": endpoint_state.map_or(0, |endpoint_state| endpoint_state.running()),
                 "left_out": endpoint_state.is_some_and(|endpoint_state| endpoint_state.is_ejected(now)),
+                "limit_per_second": limit,
+                "limit_owner": owner.map(|owner| owner.host),
                 "failing": endpoint_state.map_or(0.0, |endpoint_state| endpoint_state.failure_rate(now)),
             })
         });
@@ -199,6 +220,7 @@
             "leaving_endpoints",
             gateway.catalog.borrow().leaving_count() as u64,
         ),
+        ("limited_endpoints", gateway.limits.count() as u64),
         ("hosts", gateway.fleet.borrow().size() as u64),
         (
             "store_dark",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,12 +29,14 @@
 mod bootstrap;
 mod cold;
 mod contact;
+mod datagram;
 mod era;
 mod exchange;
 mod forward;
 mod holdover;
 mod holdover_sync;
 mod idle;
+mod limit;
 mod log;
 mod metrics;
 mod mirror;
@@ -61,7 +63,6 @@
 
 pub use metrics::Metrics;
 pub use mirror::Mirror;
-pub use peers::load_report_interval;
 pub use record::Recorder;
 pub use settings::Settings;
 
@@ -118,6 +119,8 @@
     demand: RefCell<BTreeMap<ServiceId, Demand>>,
     /// Rate limits for cold endpoints
     cold_buckets: RefCell<BTreeMap<EndpointId, cold::TokenBucket>>,
+    /// Limits that endpoints name for all hosts together
+    limits: limit::Limits,
     /// Whether this host knows what other hosts hold, or has asked in vain
     knows_holdover: Cell<bool>,
     /// Whether an older configuration replaces a newer one, as it stayed the store's
@@ -172,6 +175,7 @@
             arrivals: RefCell::default(),
             demand: RefCell::default(),
             cold_buckets: RefCell::default(),
+            limits: limit::Limits::new(Instant::now()),
             knows_holdover: Cell::new(false),
             is_rollback_allowed: Cell::new(false),
             era_lag_tolerance: ERA_LAG_TOLERANCE.mul_f64(1.0 + fastrand::f64()),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,27 +10,18 @@
 use smol::future::FutureExt;
 use smol::net::UdpSocket;
 
-use super::holdover::Digest;
+use super::datagram::{Message, decode, encode};
 use super::source::{LagMonitor, Resync};
-use super::{Gateway, holdover_sync, quarantine};
-use crate::fleet::{Member, PING_INTERVAL, Report, Watermark};
+use super::{Gateway, holdover_sync, limit, quarantine};
+use crate::fleet::{Member, PING_INTERVAL, Report, SMALL_FLEET_HOSTS, load_report_interval};
 use crate::id::{HostId, RegionId, ServiceId};
 use crate::platform::record;
-use crate::platform::store::{Era, Error, Kind, Session};
-use crate::quarantine::{Key, Record, Source};
-
-/// Base interval of load reports within a region
-const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Interval added for each further host of the region, so that the cost per host stays bounded
-const LOAD_REPORT_INTERVAL_PER_HOST: Duration = Duration::from_millis(8);
+use crate::platform::store::{Error, Kind, Session};
+use crate::quarantine::Source;
 
 /// Interval of demand reports to hosts of other regions
 const DEMAND_REPORT_INTERVAL: Duration = Duration::from_millis(1000);
 
-/// Number of hosts up to which load is reported to the whole fleet
-pub const SMALL_FLEET_HOSTS: usize = 24;
-
 /// Number of hosts of other regions that get each demand report
 const DEMAND_REPORT_HOSTS: usize = 4;
 
@@ -60,6 +51,9 @@
                 continue;
             }
         };
+        if limit::receive(&gateway, &socket, sender, &buffer[..length]).await {
+            continue;
+        }
         let Ok(Message {
             report,
             watermarks,
@@ -69,6 +63,7 @@
             reads_store,
             store_reader,
             held,
+            limits,
         }) = decode(&buffer[..length])
         else {
             log::debug!("cannot decode a datagram from {sender}");
@@ -123,6 +118,7 @@
         for (key, record) in &suspects {
             quarantine::merge(&gateway, *key, record, source);
         }
+        gateway.record_limit_news(now, &limits);
         if report.ping {
             send_reports(&gateway, &socket, &[(sender, is_own_region)], false).await;
         }
@@ -136,11 +132,6 @@
     }
 }
 
-/// Returns the interval between two load reports to `hosts` hosts
-pub fn load_report_interval(hosts: usize) -> Duration {
-    LOAD_REPORT_INTERVAL + LOAD_REPORT_INTERVAL_PER_HOST * hosts as u32
-}
-
 /// Reports the local load to the hosts of the region, in a small fleet to all hosts
 pub async fn report_load(gateway: Rc<Gateway>, socket: UdpSocket) {
     loop {
@@ -242,6 +233,7 @@
             true => BTreeMap::new(),
             false => region_demand(gateway, &settings.region),
         },
+        limits: gateway.limit_news(now),
     };
     encode(&message)
 }
@@ -281,106 +273,6 @@
     demand.collect()
 }
 
-/// Content of a datagram
-#[derive(Debug, PartialEq)]
-pub struct Message {
-    /// Load and demand of the sender
-    pub report: Report,
-    /// What the sender has read of the store
-    pub watermarks: BTreeMap<Kind, Watermark>,
-    /// News of requests that crashed endpoints
-    pub suspects: Vec<(Key, Record)>,
-    /// Whether the sender tried to read the store lately and could not
-    pub cannot_read_store: bool,
-    /// Demand of the sender's region, by service; sent to other regions only
-    pub region_demand: BTreeMap<ServiceId, f32>,
-    /// Whether the sender reads the store itself
-    pub reads_store: bool,
-    /// Another host that reads the store, and how long ago that was known
-    pub store_reader: Option<(HostId, Duration)>,
-    /// Digest of what the sender holds since the store came back from an older copy
-    pub held: Digest,
-}
-
-/// Encodes a message in parts, of which hosts of earlier versions read only the first one or two
-///
-/// The oldest of them do not know [`Kind::Quarantine`], so its watermark is in the second part. The
-/// third has the eras of the watermarks, if the store states any, the fourth whether the sender cannot
-/// read the store and the demand of its region, and the fifth whether it reads the store, who else
-/// does, and what it holds, if there is any of it to tell.
-pub fn encode(message: &Message) -> Vec<u8> {
-    let mut watermarks = message.watermarks.clone();
-    let quarantine = watermarks.remove(&Kind::Quarantine);
-    let known = postcard::to_stdvec(&(&message.report, watermarks));
-    let added = postcard::to_stdvec(&(quarantine, &message.suspects));
-    let mut bytes = known.expect("plain data is always encoded");
-    bytes.extend(added.expect("plain data is always encoded"));
-    let eras = message
-        .watermarks
-        .iter()
-        .map(|(kind, mark)| (*kind, mark.era));
-    let eras: BTreeMap<Kind, Era> = eras.filter(|(_, era)| *era > 0).collect();
-    let has_fifth_part = message.reads_store || message.store_reader.is_some() || message.held != 0;
-    let has_fourth_part =
-        has_fifth_part || message.cannot_read_store || !message.region_demand.is_empty();
-    if !eras.is_empty() || has_fourth_part {
-        bytes.extend(postcard::to_stdvec(&eras).expect("plain data is always encoded"));
-    }
-    if has_fourth_part {
-        let fourth = postcard::to_stdvec(&(message.cannot_read_store, &message.region_demand));
-        bytes.extend(fourth.expect("plain data is always encoded"));
-    }
-    if has_fifth_part {
-        let reader = message.store_reader.as_ref();
-        let reader = reader.map(|(host, age)| (host, age.as_millis() as u64));
-        let fifth = postcard::to_stdvec(&(message.reads_store, reader, message.held));
-        bytes.extend(fifth.expect("plain data is always encoded"));
-    }
-    bytes
-}
-
-/// Decodes a message, also one of an earlier version
-pub fn decode(bytes: &[u8]) -> Result<Message, postcard::Error> {
-    let ((report, mut watermarks), rest): ((Report, BTreeMap<Kind, Watermark>), _) =
-        postcard::take_from_bytes(bytes)?;
-    let mut suspects = Vec::new();
-    let mut cannot_read_store = false;
-    let mut region_demand = BTreeMap::new();
-    let mut reads_store = false;
-    let mut store_reader: Option<(HostId, u64)> = None;
-    let mut held = 0;
-    if !rest.is_empty() {
-        let (added, rest) = postcard::take_from_bytes(rest)?;
-        let quarantine: Option<Watermark>;
-        (quarantine, suspects) = added;
-        watermarks.extend(quarantine.map(|watermark| (Kind::Quarantine, watermark)));
-        let (eras, rest): (BTreeMap<Kind, Era>, _) = match rest.is_empty() {
-            true => (BTreeMap::new(), rest),
-            false => postcard::take_from_bytes(rest)?,
-        };
-        if !rest.is_empty() {
-            let (fourth, rest) = postcard::take_from_bytes(rest)?;
-            (cannot_read_store, region_demand) = fourth;
-            if !rest.is_empty() {
-                (reads_store, store_reader, held) = postcard::from_bytes(rest)?;
-            }
-        }
-        for (kind, watermark) in &mut watermarks {
-            watermark.era = eras.get(kind).copied().unwrap_or(0);
-        }
-    }
-    Ok(Message {
-        report,
-        watermarks,
-        suspects,
-        cannot_read_store,
-        region_demand,
-        reads_store,
-        store_reader: store_reader.map(|(host, age)| (host, Duration::from_millis(age))),
-        held,
-    })
-}
-
 /// Maintains this host's entry in the store, and removes the entries of silent hosts
 pub async fn maintain_entry(gateway: Rc<Gateway>) {
     let mut session = Session::new(gateway.settings.borrow().store_address);
@@ -441,7 +333,7 @@
     }
     gateway.record_store_success();
     // Until the watch returns the entry's revision, another write would be redundant.
-    gateway.fleet.borrow_mut().put(entry);
+    gateway.fleet.borrow_mut().put(Instant::now(), entry);
     gateway.recorder.event("registered", &[]);
     Ok(())
 }
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -8,6 +8,7 @@
 
 use smol::Timer;
 
+use super::limit::Permit;
 use super::{Gateway, advice};
 use crate::catalog::Endpoint;
 use crate::message::{Connection, timeout};
@@ -29,6 +30,7 @@
         }
         gateway.idle_connections.borrow_mut().expire(now);
         gateway.expire_cold_buckets(now);
+        gateway.maintain_limits(now);
         gateway.expire_affinity_keys(now);
         gateway.quarantine.borrow_mut().expire(now);
         let due = gateway.pool.borrow_mut().due_probes(now);
@@ -48,13 +50,20 @@
 }
 
 async fn probe_endpoint(gateway: &Gateway, endpoint: &Endpoint) {
+    let Some(permit) = gateway.acquire_permit(endpoint).await else {
+        gateway.pool.borrow_mut().postpone_probe(&endpoint.id);
+        return;
+    };
     gateway.metrics.count_probe();
     let healthy = timeout(
         Instant::now() + PROBE_TIMEOUT,
-        is_healthy(gateway, endpoint),
+        is_healthy(gateway, endpoint, permit),
     )
     .await;
-    let healthy = healthy.unwrap_or(false);
+    let Some(healthy) = healthy.unwrap_or(Some(false)) else {
+        gateway.pool.borrow_mut().postpone_probe(&endpoint.id);
+        return;
+    };
     let mut pool = gateway.pool.borrow_mut();
     pool.record_probe(Instant::now(), &endpoint.id, healthy);
     drop(pool);
@@ -65,30 +74,34 @@
     gateway.recorder.event("probe", &fields);
 }
 
-async fn is_healthy(gateway: &Gateway, endpoint: &Endpoint) -> bool {
+/// Returns whether an endpoint is healthy, `None` if the check must not be sent any more
+async fn is_healthy(gateway: &Gateway, endpoint: &Endpoint, permit: Permit) -> Option<bool> {
     let configuration = gateway.configuration();
     let service = configuration
         .as_ref()
         .and_then(|configuration| configuration.services.get(&endpoint.service));
     let path = service.map_or("/", |service| service.health_path.as_str());
     let Ok(mut connection) = Connection::connect(endpoint.address, PROBE_TIMEOUT).await else {
-        return false;
+        return Some(false);
     };
+    if !gateway.limits.allows(Instant::now(), endpoint, permit) {
+        return None;
+    }
     let head = header::health_check_head(path, endpoint.address);
     if connection
         .write(head.as_bytes(), Instant::now() + PROBE_TIMEOUT)
         .await
         .is_err()
     {
-        return false;
+        return Some(false);
     }
     let Ok(answer) = connection.read_response("GET").await else {
-        return false;
+        return Some(false);
     };
     let is_same_endpoint = header::instance_id(&answer.headers).is_none_or(|id| id == endpoint.id);
     if is_same_endpoint {
         advice::heed(gateway, endpoint, &answer);
     }
     // An endpoint at capacity rejects checks like requests, but is alive.
-    is_same_endpoint && (answer.status == 200 || header::is_not_executed(&answer))
+    Some(is_same_endpoint && (answer.status == 200 || header::is_not_executed(&answer)))
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -79,6 +79,7 @@
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|error| Error::Unavailable(format!("cannot install signal handlers: {error}")))?;
     let gateway = Rc::new(Gateway::new(settings, executor));
+    gateway.limits.set_socket(socket.clone());
     let fields = [("host", gateway.settings.borrow().host.as_str().into())];
     gateway.recorder.event("started", &fields);
     for (listener, port) in listeners {
--- a/src/gateway/share.rs
+++ b/src/gateway/share.rs
@@ -4,7 +4,9 @@
 use std::time::Instant;
 
 use super::Gateway;
+use crate::catalog::Endpoint;
 use crate::id::{RegionId, ServiceId};
+use crate::placement::ServiceTime;
 use crate::region::{self, Load, Shares};
 
 impl Gateway {
@@ -117,6 +119,17 @@
         shares.collect()
     }
 
+    /// Returns the slots of an endpoint that its limit allows to be busy, if it has one
+    fn usable_slots(&self, endpoint: &Endpoint) -> f64 {
+        let slots = f64::from(endpoint.slots);
+        let Some(rate) = self.limits.rate(endpoint) else {
+            return slots;
+        };
+        let seconds =
+            self.mean_service_seconds(&endpoint.service, &endpoint.region, ServiceTime::mean);
+        slots.min(rate * seconds)
+    }
+
     /// Returns the slots and demand of all regions
     pub(super) fn region_loads(
         &self,
@@ -133,7 +146,7 @@
             let is_cold = catalog.is_cold(now, &endpoint.id);
             let load = loads.entry(endpoint.region.clone()).or_default();
             if !is_ejected && !is_cold {
-                load.slots += f64::from(endpoint.slots);
+                load.slots += self.usable_slots(endpoint);
             }
         }
         let home = self.settings.borrow().region.clone();
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use super::{Gateway, Settings, peers};
-use crate::fleet::{Fleet, LAG_TOLERANCE, LagDetector, Watermark};
+use super::{Gateway, Settings};
+use crate::fleet::{self, Fleet, LAG_TOLERANCE, LagDetector, Watermark};
 use crate::id::HostId;
 use crate::platform::store::Kind;
 use crate::util::stable_hash;
@@ -59,12 +59,12 @@
         address: settings.store_address,
         is_store: true,
     };
-    let hosts = match fleet.size() <= peers::SMALL_FLEET_HOSTS {
+    let hosts = match fleet.size() <= fleet::SMALL_FLEET_HOSTS {
         true => fleet.size(),
         false => fleet.count_in_region(&settings.region),
     };
     let reader_timeout =
-        (peers::load_report_interval(hosts) * MAX_MISSED_REPORTS).max(MIN_READER_TIMEOUT);
+        (fleet::load_report_interval(hosts) * MAX_MISSED_REPORTS).max(MIN_READER_TIMEOUT);
     let now = Instant::now();
     let readers = match now < gateway.started_at + reader_timeout {
         true => fleet.likely_readers(now, &settings.region),
--- a/src/gateway/tests/peers.rs
+++ b/src/gateway/tests/peers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::fleet::{Report, Watermark};
-use crate::gateway::peers::{Message, decode, encode};
+use crate::gateway::datagram::{Message, decode, encode};
 use crate::id::ServiceId;
 use crate::platform::store::{Era, Kind};
 use crate::quarantine::{Key, Record};
@@ -36,6 +36,7 @@
         reads_store: false,
         store_reader: None,
         held: 0,
+        limits: Vec::new(),
     }
 }
 
@@ -52,6 +53,8 @@
         /// Host that reads the store, as the sender heard
         store_reader: Option<&'static str>,
         held: u64,
+        /// Limits of endpoints: run, requests a second, age in milliseconds
+        limits: &'static [(u64, Option<f64>, u64)],
     }
     let none = Case {
         name: "",
@@ -62,6 +65,7 @@
         reads_store: false,
         store_reader: None,
         held: 0,
+        limits: &[],
     };
     let cases = [
         Case {
@@ -113,6 +117,22 @@
             held: u64::MAX,
             ..none
         },
+        Case {
+            name: "limits and nothing else",
+            limits: &[(u64::MAX, Some(1.4), 20), (3, None, 4000)],
+            ..none
+        },
+        Case {
+            name: "limits beside all else",
+            suspects: 3,
+            era: 4,
+            cannot_read_store: true,
+            reads_store: true,
+            store_reader: Some("edge-2"),
+            held: 9,
+            limits: &[(u64::MAX, Some(0.0), 0)],
+            ..none
+        },
     ];
     for case in cases {
         let sent = Message {
@@ -123,6 +143,7 @@
             },
             reads_store: case.reads_store,
             held: case.held,
+            limits: case.limits.to_vec(),
             store_reader: case
                 .store_reader
                 .map(|host| (host.into(), Duration::from_millis(1200))),
--- a/src/gateway/tests/source.rs
+++ b/src/gateway/tests/source.rs
@@ -51,7 +51,7 @@
     }
     {
         let mut fleet = gateway.fleet.borrow_mut();
-        fleet.replace((0..HOSTS).map(member).collect());
+        fleet.replace(Instant::now(), (0..HOSTS).map(member).collect());
         for number in heard {
             let report = Report {
                 host: name(*number).as_str().into(),
@@ -126,12 +126,15 @@
             {
                 let mut fleet = gateway.fleet.borrow_mut();
                 let region = if case.is_near { "north" } else { "south" };
-                fleet.put(Member {
-                    region: region.into(),
-                    // Not strong enough to be a reader of the region.
-                    weight: 0.1,
-                    ..member(case.reader)
-                });
+                fleet.put(
+                    Instant::now(),
+                    Member {
+                        region: region.into(),
+                        // Not strong enough to be a reader of the region.
+                        weight: 0.1,
+                        ..member(case.reader)
+                    },
+                );
                 let reader = name(case.reader).as_str().into();
                 fleet.record_store_reader_heard(now - Duration::from_secs(1), &reader);
             }
--- a/src/gateway/tests/watch.rs
+++ b/src/gateway/tests/watch.rs
@@ -114,7 +114,7 @@
         let gateway = hosts.iter().find_map(|own| {
             let gateway = Gateway::new(settings(&own.host, address), executor.clone());
             let mut fleet = gateway.fleet.borrow_mut();
-            fleet.replace(hosts.clone());
+            fleet.replace(Instant::now(), hosts.clone());
             hosts
                 .iter()
                 .for_each(|host| fleet.record_report(now, &report(&host.host)));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gateway;
 pub mod http;
 pub mod id;
+pub mod limit;
 pub mod load;
 pub mod lookup;
 pub mod member;
--- a/src/placement/endpoint.rs
+++ b/src/placement/endpoint.rs
@@ -165,6 +165,11 @@
         }
     }
 
+    /// Records that a health check that was due was not sent
+    pub fn postpone_probe(&mut self) {
+        self.on_trial = false;
+    }
+
     /// Records the result of a health check
     pub fn record_probe(&mut self, now: Instant, healthy: bool) {
         if healthy {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -270,6 +270,13 @@
         due.collect()
     }
 
+    /// Records that a health check that was due was not sent
+    pub fn postpone_probe(&mut self, id: &EndpointId) {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.postpone_probe();
+        }
+    }
+
     /// Records the result of a health check
     pub fn record_probe(&mut self, now: Instant, id: &EndpointId, healthy: bool) {
         if let Some(state) = self.endpoints.get_mut(id) {
--- a/src/quarantine/register/tests/simulation.rs
+++ b/src/quarantine/register/tests/simulation.rs
@@ -9,7 +9,7 @@
 use fastrand::Rng;
 
 use super::super::*;
-use crate::gateway::load_report_interval;
+use crate::fleet::load_report_interval;
 
 /// Step of the simulated time
 const STEP: Duration = Duration::from_millis(100);
--- a/tests/endpoint_limit.rs
+++ b/tests/endpoint_limit.rs
@@ -46,6 +46,9 @@
     Rename(&'static str),
 }
 
+/// Ratio of the limits that must be used while callers want more
+const MIN_USE: f64 = 0.8;
+
 #[derive(Clone, Copy, Debug)]
 struct Case {
     name: &'static str,
@@ -174,9 +177,35 @@
         case.name,
         load.statuses()
     );
+    if let Some(used) = use_of_limits(&site, case) {
+        println!("{}: {used:.2} of the limits are used", case.name);
+        if used < MIN_USE {
+            broken.push(format!(
+                "{}: only {used:.2} of the limits are used",
+                case.name
+            ));
+        }
+    }
     broken
 }
 
+/// Returns the ratio of the limits that is used before the event, if nothing else can serve the
+/// callers
+fn use_of_limits(site: &Site, case: Case) -> Option<f64> {
+    let mut arrived = 0;
+    for server in case.limited {
+        let endpoint = &site.servers[*server].endpoint;
+        let answers = endpoint.limit_answers();
+        let named_at = answers.iter().map(|(_, at)| *at).min()?;
+        let span = named_at + HEED_TIME..named_at + HEED_TIME + WINDOW;
+        let arrivals = endpoint.arrivals();
+        let arrivals = arrivals.values().flatten();
+        arrived += arrivals.filter(|at| span.contains(*at)).count();
+    }
+    let expected = case.rate * WINDOW.as_secs_f64() * case.limited.len() as f64;
+    (case.limited.len() == site.servers.len()).then(|| arrived as f64 / expected)
+}
+
 // A limit holds for all hosts together, so it has to hold while hosts come and go, too.
 #[test]
 fn hosts_together_send_an_endpoint_more_than_it_named() {
@@ -215,3 +244,82 @@
     let broken: Vec<String> = broken.collect();
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Starts a deployment whose endpoints serve about as much as the load needs, and the load
+async fn start(load_time: Duration) -> (Site, Load) {
+    let mut site = Site::start_with_capacity(3, 3, (3, Duration::from_millis(20))).await;
+    (0..site.servers.len()).for_each(|index| site.register_without_proxy(index));
+    Timer::after(Duration::from_millis(300)).await;
+    let load = Load::with_callers(&site, load_time, CALLERS);
+    (site, load)
+}
+
+// Hosts that have no part in a limit hear of its end from others.
+#[test]
+fn endpoint_that_takes_its_limit_back_stays_unused() {
+    /// Time until all hosts use the endpoint again: a request within the limit, and its news
+    const RETURN_TIME: Duration = Duration::from_secs(2);
+    let broken = site::collect(std::iter::once(async {
+        let (site, mut load) = start(Duration::from_secs(12)).await;
+        Timer::after(Duration::from_secs(1)).await;
+        for server in [0, 3] {
+            site.servers[server].endpoint.set_faults(Faults {
+                server_limit: Some("1"),
+                ..Faults::default()
+            });
+        }
+        Timer::after(Duration::from_secs(5)).await;
+        let taken_back_at = Instant::now();
+        for server in [0, 3] {
+            site.servers[server].endpoint.set_faults(Faults::default());
+        }
+        let hosts = load.hosts_by_attempt().await;
+        let mut broken = Vec::new();
+        for server in [0, 3] {
+            let region = site.servers[server].region;
+            let arrivals = arrivals_by_host(&site, server, &hosts);
+            for gateway in site.gateways.iter().filter(|host| host.region == region) {
+                let address = SocketAddr::new(gateway.ip, 8161);
+                let times = arrivals.get(&address).map_or(&[][..], Vec::as_slice);
+                let again = times.iter().filter(|at| **at > taken_back_at + RETURN_TIME);
+                let count = again.count();
+                println!("endpoint {server}, {}: {count} again", gateway.name);
+                if count < 20 {
+                    broken.push(format!("{} sends endpoint {server} {count}", gateway.name));
+                }
+            }
+        }
+        broken
+    }));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+// What states no number of requests must not change what callers get.
+#[test]
+fn limits_that_are_no_numbers_harm_callers() {
+    const TEXTS: [&str; 6] = ["-1", "nan", "inf", "many", "", "1\r\nServer-Limit: 2"];
+    let broken = site::collect(std::iter::once(async {
+        let (site, mut load) = start(Duration::from_secs(5)).await;
+        for (server, text) in site.servers.iter().zip(TEXTS) {
+            server.endpoint.set_faults(Faults {
+                server_limit: Some(text),
+                ..Faults::default()
+            });
+        }
+        load.hosts_by_attempt().await;
+        let statuses = load.statuses();
+        println!("{statuses:?}");
+        let mut broken = Vec::new();
+        if statuses.keys().any(|status| status != "200") {
+            broken.push(format!("{statuses:?}"));
+        }
+        for index in 0..site.gateways.len() {
+            let log = site.read_log(index);
+            if !log.contains("limit-ignored") || log.contains("endpoint-limit") {
+                broken.push(format!("log of {}", site.gateways[index].name));
+            }
+        }
+        broken
+    }));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
--- a/tests/endpoints.rs
+++ b/tests/endpoints.rs
@@ -3,7 +3,6 @@
 
 mod site;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
