Do not take a late answer without an id for the request's own

Cause: answers whose id differs from the request's are skipped, but one without an id was taken for the request's own on any connection.

Change: on a connection that was in use before, an answer without an id breaks the attempt when the request had one; endpoints echo it. On a new connection there is no earlier answer. The stand-in states the id in all answers to requests, as the users' endpoints do.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -277,7 +277,7 @@
         if !advice::may_send(gateway, &in_flight.endpoint, in_flight.permit) {
             return Err(Failure::Withheld);
         }
-        let sent = send(idle, in_flight, request, upload, limits).await;
+        let sent = send(idle, in_flight, request, upload, limits, true).await;
         // The endpoint may close an idle connection while the request is being sent on it.
         let error = match sent {
             Err(Failure::Broken(error)) => error,
@@ -326,7 +326,7 @@
             None => Failure::Withheld,
         });
     }
-    send(connection, in_flight, request, upload, limits).await
+    send(connection, in_flight, request, upload, limits, false).await
 }
 
 async fn send(
@@ -335,6 +335,7 @@
     request: &Request,
     upload: &mut Upload<'_>,
     limits: Limits,
+    is_reused: bool,
 ) -> Result<(Connection, Response, bool), Failure> {
     let to_failure = |error: &dyn std::fmt::Display| Failure::Broken(error.to_string());
     let now = Instant::now();
@@ -370,11 +371,12 @@
             let answer = connection.read_response(&request.method).await;
             let answer = answer.map_err(|error| to_failure(&error))?;
             let sent_attempt = header::attempt_id(&request.headers);
-            match header::attempt_id(&answer.headers) {
-                Some(answered_attempt)
-                    if sent_attempt
-                        .is_some_and(|sent_attempt| sent_attempt != answered_attempt) =>
-                {
+            match (sent_attempt, header::attempt_id(&answer.headers)) {
+                // It may be a late one to an earlier request.
+                (Some(_), None) if is_reused => {
+                    return Err(to_failure(&"answer without an attempt id"));
+                }
+                (Some(sent), Some(answered)) if sent != answered => {
                     let body = connection
                         .read_body(answer.length, MAX_BUFFERED_BYTES)
                         .await;
--- a/src/platform/standin/endpoint.rs
+++ b/src/platform/standin/endpoint.rs
@@ -49,6 +49,20 @@
     pub retry_after: Option<&'static str>,
     /// Text of the `Server-Limit` header of all answers
     pub server_limit: Option<&'static str>,
+    /// Second copies of answers, sent when the next request on the connection has arrived
+    pub late_copies: LateCopies,
+}
+
+/// Second copies of answers
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LateCopies {
+    /// None are sent
+    #[default]
+    None,
+    /// The same bytes once more
+    Exact,
+    /// Without the attempt id
+    WithoutId,
 }
 
 /// Fixed properties of an endpoint
@@ -203,10 +217,17 @@
         let Ok(mut connection) = Connection::new(stream) else {
             return;
         };
+        let mut late_copy: Option<Vec<u8>> = None;
         while let Ok(request) = connection.read_request(32 << 10).await {
             let Ok(body) = connection.read_body(request.length, MAX_BODY_BYTES).await else {
                 return;
             };
+            if let Some(copy) = late_copy.take() {
+                let deadline = Instant::now() + Duration::from_secs(1);
+                if connection.write(&copy, deadline).await.is_err() {
+                    return;
+                }
+            }
             let response = async { Some(self.execute(&request, body.len()).await) };
             let mut watched_connection = Connection::new(connection.writer()).ok();
             let closed = async {
@@ -231,6 +252,11 @@
             }
             let deadline = Instant::now() + Duration::from_secs(10);
             let is_complete = bytes.ends_with(BODY_END);
+            late_copy = match lock(&self.state).faults.late_copies {
+                LateCopies::None => None,
+                LateCopies::Exact => Some(bytes.clone()),
+                LateCopies::WithoutId => Some(without_header(&bytes, "Attempt-Id: ")),
+            };
             if connection.write(&bytes, deadline).await.is_err() || !is_complete {
                 return;
             }
@@ -243,18 +269,19 @@
         if request.target.starts_with("/health") {
             return Some(encode_response(200, &format!("Instance-Id: {id}\r\n"), b""));
         }
+        let attempt_id = request
+            .headers
+            .get("Attempt-Id")
+            .unwrap_or_default()
+            .to_owned();
         if request
             .headers
             .get("Target-Instance")
             .is_some_and(|target| target != id)
         {
-            return Some(encode_response(421, &format!("Instance-Id: {id}\r\n"), b""));
+            let headers = format!("Attempt-Id: {attempt_id}\r\nInstance-Id: {id}\r\n");
+            return Some(encode_response(421, &headers, b""));
         }
-        let attempt_id = request
-            .headers
-            .get("Attempt-Id")
-            .unwrap_or_default()
-            .to_owned();
         lock(&self.state)
             .arrivals
             .entry(attempt_id.clone())
@@ -275,7 +302,8 @@
             return Some(encode_response(503, &headers, b""));
         }
         if !self.acquire_slot().await {
-            return Some(encode_response(503, "Not-Executed: 1\r\n", b""));
+            let headers = format!("Attempt-Id: {attempt_id}\r\nNot-Executed: 1\r\n");
+            return Some(encode_response(503, &headers, b""));
         }
         let slot = SlotGuard(self.clone());
         let faults = {
@@ -386,6 +414,22 @@
     }
 }
 
+/// Returns a response without the header line that begins with `name`
+fn without_header(bytes: &[u8], name: &str) -> Vec<u8> {
+    let position = |pattern: &[u8], from: usize| {
+        let found = bytes[from..]
+            .windows(pattern.len())
+            .position(|part| part == pattern);
+        found.map(|offset| from + offset)
+    };
+    let start = position(name.as_bytes(), 0);
+    let end = start.and_then(|start| position(b"\r\n", start));
+    match (start, end) {
+        (Some(start), Some(end)) => [&bytes[..start], &bytes[end + 2..]].concat(),
+        _ => bytes.to_vec(),
+    }
+}
+
 fn encode_response(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
     let body = if body.is_empty() { BODY_END } else { body };
     let head = format!(
