Change the owner of permits with the list of hosts, not with a host's own view

Cause: a host that did not hear the owner for a second took over its permits, while hosts that still heard the owner went on asking it: two owners for as long as those two were cut from each other.

Change: a listed host that is silent counts as gone only while this host cannot reach the store, so that a part that is cut off still serves what it can. Otherwise the removal of the silent host from the store's list decides, which all hosts see.

--- a/src/fleet/owner.rs
+++ b/src/fleet/owner.rs
@@ -53,11 +53,13 @@
 impl Fleet {
     /// Returns the hosts of a region, or of all regions if it has none, among which owners are chosen
     ///
-    /// Hosts that are `passed_over` count as silent.
+    /// A listed host that does not report counts as gone only if `is_list_outdated`: otherwise the hosts
+    /// that hear it would still choose it. Hosts that are `passed_over` count as gone, too.
     pub fn electorate(
         &self,
         now: Instant,
         region: &str,
+        is_list_outdated: bool,
         passed_over: impl Fn(&HostId) -> bool,
     ) -> Electorate<'_> {
         let hosts_in_region = self.count_in_region(region);
@@ -74,7 +76,8 @@
                 continue;
             }
             let host = &member.host;
-            match self.silent_since(now, member, silence) {
+            let silent_since = self.silent_since(now, member, silence);
+            match silent_since.filter(|_| is_list_outdated) {
                 Some(since) => gone.push((host, since)),
                 None if passed_over(host) => gone.push((host, now)),
                 None => live.push((host, self.listed_at.get(host).copied())),
--- a/src/fleet/owner/tests.rs
+++ b/src/fleet/owner/tests.rs
@@ -31,7 +31,7 @@
 }
 
 fn owner(fleet: &Fleet, now: Instant) -> Owner {
-    let electorate = fleet.electorate(now, "a", |_| false);
+    let electorate = fleet.electorate(now, "a", true, |_| false);
     electorate.owner(KEY).expect("a host is live")
 }
 
@@ -93,6 +93,9 @@
     report(&mut fleet, at(5000), &names[0]);
     assert_eq!(owner(&fleet, at(5900)).host, names[0]);
     assert_eq!(owner(&fleet, at(6500)).host, names[1]);
+    let current = fleet.electorate(at(6500), "a", false, |_| false);
+    let listed = current.owner(KEY).expect("a host is listed");
+    assert_eq!(listed.host, names[0], "others may hear it");
     let since = owner(&fleet, at(8000)).since.expect("a change");
     assert_eq!(since, at(6000), "a second after the last report");
     report(&mut fleet, at(8100), &names[0]);
@@ -114,9 +117,12 @@
 fn a_region_without_hosts_has_owners_elsewhere() {
     let start = Instant::now();
     let (fleet, names) = fleet_of_next_owner(start, 0);
-    let electorate = fleet.electorate(start, "b", |_| false);
+    let electorate = fleet.electorate(start, "b", true, |_| false);
     let owner = electorate.owner(KEY).expect("a host of another region");
     assert_eq!(owner.host, names[0]);
     let nobody = Fleet::new("h9".into());
-    assert_eq!(nobody.electorate(start, "a", |_| false).owner(KEY), None);
+    assert_eq!(
+        nobody.electorate(start, "a", true, |_| false).owner(KEY),
+        None
+    );
 }
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -148,16 +148,18 @@
             let unanswered_at = unanswered.get(host);
             unanswered_at.is_some_and(|at| now < *at + PASS_OVER_TIME)
         };
+        let is_list_outdated = self.mirror.borrow().is_store_unreachable();
         let fleet = self.fleet.borrow();
-        let electorate = fleet.electorate(now, &endpoint.region, is_passed_over);
+        let electorate = fleet.electorate(now, &endpoint.region, is_list_outdated, is_passed_over);
         electorate.owner(&endpoint.id)
     }
 
     /// Returns whether this host hands out the permits of an endpoint, and since when
     fn owns_permits_since(&self, now: Instant, endpoint: &Endpoint) -> Option<Instant> {
+        let is_list_outdated = self.mirror.borrow().is_store_unreachable();
         let fleet = self.fleet.borrow();
         // Hosts that did not answer this one may still decide for others.
-        let electorate = fleet.electorate(now, &endpoint.region, |_| false);
+        let electorate = fleet.electorate(now, &endpoint.region, is_list_outdated, |_| false);
         self.owned_since(electorate.owner(&endpoint.id))
     }
 
@@ -181,9 +183,10 @@
         if register.is_empty() {
             return Vec::new();
         }
+        let is_list_outdated = self.mirror.borrow().is_store_unreachable();
         let fleet = self.fleet.borrow();
         let region = self.settings.borrow().region.clone();
-        let electorate = fleet.electorate(now, &region, |_| false);
+        let electorate = fleet.electorate(now, &region, is_list_outdated, |_| false);
         let catalog = self.catalog.borrow();
         let endpoints = catalog.endpoints();
         let owned = endpoints.filter(|endpoint| {
--- a/src/limit/tests.rs
+++ b/src/limit/tests/mod.rs
@@ -1,3 +1,5 @@
+mod schedules;
+
 use std::time::{Duration, Instant};
 
 use super::{HANDOVER_TIME, MAX_RATE, Register, Statement, Verdict};
