Limited endpoint in the soak; counting of a limit shared by tests

Cause: the soak played endpoints that leave and that ask for time, but none that limits the requests of all hosts together.

Change: from seed 2000 on one endpoint limits itself to 3 requests a second throughout the run, under all other faults. Hosts that are killed, paused, stopped or cut from the store are left out until 3 s after that, all hosts until 3 s after the endpoint's own faults, as the users' rule excuses them.

--- a/src/limit/tests/schedules.rs
+++ b/src/limit/tests/schedules.rs
@@ -172,15 +172,13 @@
         if self.is_store_away(step) {
             return self.lists.push(list);
         }
-        for host in 0..HOSTS {
+        for (host, is_listed) in list.iter_mut().enumerate() {
             let is_silent = now > self.last_report[host] + PING_TIMEOUT;
+            let is_mute = self.is_active(step, |fault| (fault == Fault::Mute(host)).then_some(30));
             let can_register = self.hosts[host].is_running && !self.is_paused(step, host);
-            list[host] = match list[host] {
+            *is_listed = match *is_listed {
                 true => !is_silent,
-                false => {
-                    can_register
-                        && !self.is_active(step, |fault| (fault == Fault::Mute(host)).then_some(30))
-                }
+                false => can_register && !is_mute,
             };
         }
         self.lists.push(list);
--- a/src/platform/standin/endpoint.rs
+++ b/src/platform/standin/endpoint.rs
@@ -182,6 +182,11 @@
         lock(&self.state).faults = faults;
     }
 
+    /// Returns the injected faults
+    pub fn faults(&self) -> Faults {
+        lock(&self.state).faults
+    }
+
     /// Returns the start times of executed requests by attempt id
     pub fn run_starts(&self) -> BTreeMap<String, Vec<Instant>> {
         lock(&self.state).run_starts.clone()
--- a/tests/endpoint_limit.rs
+++ b/tests/endpoint_limit.rs
@@ -3,7 +3,6 @@
 
 mod site;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -11,20 +10,9 @@
 use tanagerpier::platform::standin::endpoint::Faults;
 
 use site::Site;
+use site::limit::{HEED_TIME, WINDOW, allowed, counted_arrivals, most_in_window};
 use site::load::{Load, arrivals_by_host};
 
-/// Time after the first answer that names a limit from which on it binds
-const STABLE_TIME: Duration = Duration::from_secs(3);
-
-/// Time after which a host must heed a limit that it passed on
-const HEED_TIME: Duration = Duration::from_millis(500);
-
-/// Span in which arrivals are counted
-const WINDOW: Duration = Duration::from_secs(4);
-
-/// Ratio of the limit, and number of requests beyond that, which a window may have
-const TOLERANCE: (f64, f64) = (1.5, 5.0);
-
 /// Number of callers, which send about 600 requests a second in all
 const CALLERS: usize = 30;
 
@@ -98,55 +86,6 @@
     }
 }
 
-/// Returns the time from which on each host is bound by the limit of an endpoint
-fn bound_since(
-    site: &Site,
-    server: usize,
-    hosts: &BTreeMap<String, SocketAddr>,
-) -> BTreeMap<SocketAddr, Instant> {
-    let mut bound_since: BTreeMap<SocketAddr, Instant> = BTreeMap::new();
-    for (id, at) in site.servers[server].endpoint.limit_answers() {
-        if let Some(host) = hosts.get(&id) {
-            let since = bound_since.entry(*host).or_insert(at + HEED_TIME);
-            *since = (*since).min(at + HEED_TIME);
-        }
-    }
-    bound_since
-}
-
-/// Returns the arrivals that count against the limit of an endpoint, in order
-fn counted_arrivals(
-    site: &Site,
-    server: usize,
-    hosts: &BTreeMap<String, SocketAddr>,
-) -> Vec<Instant> {
-    let answers = site.servers[server].endpoint.limit_answers();
-    let Some(named_at) = answers.iter().map(|(_, at)| *at).min() else {
-        return Vec::new();
-    };
-    let bound_since = bound_since(site, server, hosts);
-    let mut counted = Vec::new();
-    for (host, times) in arrivals_by_host(site, server, hosts) {
-        let since = bound_since.get(&host).copied();
-        counted.extend(
-            times.into_iter().filter(|at| {
-                since.is_some_and(|since| *at >= since) && *at >= named_at + STABLE_TIME
-            }),
-        );
-    }
-    counted.sort();
-    counted
-}
-
-/// Returns the largest number of arrivals in a window
-fn most_in_window(arrivals: &[Instant]) -> usize {
-    let in_window = arrivals.iter().enumerate().map(|(first, start)| {
-        let end = arrivals.partition_point(|at| *at < *start + WINDOW);
-        end - first
-    });
-    in_window.max().unwrap_or_default()
-}
-
 async fn play(case: Case) -> Vec<String> {
     let mut site = Site::start_with_capacity(3, 3, (3, Duration::from_millis(20))).await;
     (0..site.servers.len()).for_each(|index| site.register_without_proxy(index));
@@ -157,12 +96,11 @@
     Timer::after(Duration::from_secs(5)).await;
     play_event(&mut site, case).await;
     let hosts = load.hosts_by_attempt().await;
-    let (ratio, slack) = TOLERANCE;
-    let allowed = case.rate * WINDOW.as_secs_f64() * ratio + slack;
+    let allowed = allowed(case.rate);
     let mut broken = Vec::new();
     let mut most = Vec::new();
     for server in case.limited {
-        let arrivals = counted_arrivals(&site, *server, &hosts);
+        let arrivals = counted_arrivals(&site, *server, &hosts, &[]);
         let in_window = most_in_window(&arrivals);
         most.push(in_window);
         if in_window as f64 > allowed {
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code)]
 
 pub mod client;
+pub mod limit;
 pub mod load;
 mod play;
 pub mod process;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,6 +14,7 @@
 use tanagerpier::platform::standin::{endpoint, store};
 
 use site::client::{self, Attempt, AttemptLog};
+use site::limit::{self, Excuse};
 use site::proxy::Mode;
 use site::{Site, wait_until};
 
@@ -31,6 +32,13 @@
 /// Longest time that recovery may take after the last fault
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Seed from which on one endpoint limits the requests of all hosts together throughout the run
+const FIRST_LIMIT_SEED: u64 = 2000;
+
+/// That endpoint, and the requests a second that it takes
+const LIMITED_SERVER: usize = 0;
+const LIMIT: (&str, f64) = ("3", 3.0);
+
 #[derive(Clone, Copy, Debug)]
 enum Fault {
     Terminate,
@@ -105,6 +113,15 @@
     EndDrain(usize),
 }
 
+/// Replaces the faults of an endpoint, but for its limit
+fn set_faults(site: &Site, server: usize, faults: endpoint::Faults) {
+    let endpoint = &site.servers[server].endpoint;
+    endpoint.set_faults(endpoint::Faults {
+        server_limit: endpoint.faults().server_limit,
+        ..faults
+    });
+}
+
 async fn inject_fault(site: &mut Site, fault: Fault, rng: &mut Rng) -> Option<Recovery> {
     let gateway = rng.usize(..site.gateways.len());
     let server = rng.usize(..site.servers.len());
@@ -153,14 +170,18 @@
             Some(Recovery::RestoreServerLink(server))
         }
         Fault::ServerFaults => {
-            site.servers[server].endpoint.set_faults(endpoint::Faults {
-                lost_response_ratio: 0.2,
-                truncated_ratio: 0.1,
-                extra_response_ratio: 0.1,
-                error_ratio: 0.2,
-                slowdown_factor: 4,
-                ..endpoint::Faults::default()
-            });
+            set_faults(
+                site,
+                server,
+                endpoint::Faults {
+                    lost_response_ratio: 0.2,
+                    truncated_ratio: 0.1,
+                    extra_response_ratio: 0.1,
+                    error_ratio: 0.2,
+                    slowdown_factor: 4,
+                    ..endpoint::Faults::default()
+                },
+            );
             Some(Recovery::RestoreServer(server))
         }
         Fault::ServerCrash => {
@@ -182,17 +203,25 @@
         }
         Fault::StoreRestores => Some(Recovery::RestoreCopy(site.store.copy())),
         Fault::ServerLeaves => {
-            site.servers[server].endpoint.set_faults(endpoint::Faults {
-                leaving: true,
-                ..endpoint::Faults::default()
-            });
+            set_faults(
+                site,
+                server,
+                endpoint::Faults {
+                    leaving: true,
+                    ..endpoint::Faults::default()
+                },
+            );
             Some(Recovery::RestartServer(server))
         }
         Fault::ServerAsksForTime => {
-            site.servers[server].endpoint.set_faults(endpoint::Faults {
-                retry_after: Some("0.8"),
-                ..endpoint::Faults::default()
-            });
+            set_faults(
+                site,
+                server,
+                endpoint::Faults {
+                    retry_after: Some("0.8"),
+                    ..endpoint::Faults::default()
+                },
+            );
             Some(Recovery::RestoreServer(server))
         }
         Fault::Configure => {
@@ -202,6 +231,31 @@
     }
 }
 
+/// Returns when arrivals do not count against the limit because of a fault that lasts until `due`
+fn excuse(site: &Site, recovery: &Recovery, from: Instant, due: Instant) -> Option<Excuse> {
+    let stable = limit::STABLE_TIME + Duration::from_millis(500);
+    let (host, after) = match recovery {
+        Recovery::StartGateway(gateway) => {
+            let exit = Duration::from_secs(site::STOP_GRACE_SECS + 1);
+            (Some(*gateway), stable + exit)
+        }
+        Recovery::ResumeGateway(gateway) | Recovery::RestoreStoreLink(gateway) => {
+            (Some(*gateway), stable)
+        }
+        // Another run of the endpoint, or one that cannot be told from it.
+        Recovery::RestoreServer(LIMITED_SERVER)
+        | Recovery::RestartServer(LIMITED_SERVER)
+        | Recovery::RestoreServerLink(LIMITED_SERVER) => (None, stable),
+        _ => return None,
+    };
+    let address = |gateway: usize| SocketAddr::new(site.gateways[gateway].ip, 8161);
+    Some(Excuse {
+        host: host.map(address),
+        from,
+        until: due + after,
+    })
+}
+
 async fn recover(site: &mut Site, recovery: Recovery) {
     match recovery {
         Recovery::StartGateway(gateway) => {
@@ -223,8 +277,8 @@
         }
         Recovery::RestoreServerLink(server) => site.servers[server].proxy.set_mode(Mode::Pass),
         Recovery::RestoreServer(index) => {
+            set_faults(site, index, endpoint::Faults::default());
             let server = &mut site.servers[index];
-            server.endpoint.set_faults(endpoint::Faults::default());
             if server.task.is_none() {
                 let start_result = server.endpoint.start(server.address).await;
                 server.task = start_result.ok().map(|(_, task)| task);
@@ -237,8 +291,7 @@
             site.write_again();
         }
         Recovery::RestartServer(index) => {
-            let server = &mut site.servers[index];
-            server.endpoint.set_faults(endpoint::Faults::default());
+            set_faults(site, index, endpoint::Faults::default());
             // Requests in flight break, as at the end of its process.
             site.restart_server(index).await;
             if site.servers[index].draining_since.is_none() {
@@ -273,6 +326,14 @@
         .collect();
     let mut active_faults: Vec<(Instant, Recovery)> = Vec::new();
     let mut drains: Vec<(usize, Instant, Instant)> = Vec::new();
+    let mut excuses: Vec<Excuse> = Vec::new();
+    if seed >= FIRST_LIMIT_SEED {
+        let endpoint = &site.servers[LIMITED_SERVER].endpoint;
+        endpoint.set_faults(endpoint::Faults {
+            server_limit: Some(LIMIT.0),
+            ..endpoint::Faults::default()
+        });
+    }
     let mut schedule = Vec::new();
     while Instant::now() < end - Duration::from_secs(2) {
         let now = Instant::now();
@@ -294,6 +355,7 @@
             let fault_duration = Duration::from_millis(rng.u64(300..3500));
             schedule.push(fault);
             if let Some(recovery) = inject_fault(&mut site, fault, &mut rng).await {
+                excuses.extend(excuse(&site, &recovery, now, now + fault_duration));
                 active_faults.push((now + fault_duration, recovery));
             }
         }
@@ -307,6 +369,9 @@
         client_task.await;
     }
     check_invariants(&site, &log, &drains);
+    if seed >= FIRST_LIMIT_SEED {
+        check_limit(&site, &log, &excuses);
+    }
     assert_recovered(&mut site).await;
 }
 
@@ -362,6 +427,27 @@
     }
 }
 
+/// Checks that all hosts together keep the limit of the endpoint that has one
+fn check_limit(site: &Site, log: &AttemptLog, excuses: &[Excuse]) {
+    let attempts = log.lock().expect("no client panicked").clone();
+    let attempts = attempts.into_iter();
+    let hosts = attempts
+        .map(|attempt| (attempt.id, attempt.gateway))
+        .collect();
+    let arrivals = limit::counted_arrivals(site, LIMITED_SERVER, &hosts, excuses);
+    let most = limit::most_in_window(&arrivals);
+    let allowed = limit::allowed(LIMIT.1);
+    println!(
+        "limited endpoint: {} counted arrivals, at most {most} of {allowed} in a window",
+        arrivals.len()
+    );
+    assert!(
+        most as f64 <= allowed,
+        "{most} requests in {:?}, {allowed} allowed",
+        limit::WINDOW
+    );
+}
+
 /// Checks that all hosts serve the newest configuration and are in the directory again
 async fn assert_recovered(site: &mut Site) {
     let newest_route = format!("/last{}/", site.version);
@@ -403,7 +489,9 @@
         0 => fastrand::u64(1..1 << 40),
         first => first,
     };
-    let always = REGRESSION_SEEDS.into_iter().chain([FIRST_NEW_SEED]);
+    let always = REGRESSION_SEEDS
+        .into_iter()
+        .chain([FIRST_NEW_SEED, FIRST_LIMIT_SEED]);
     for seed in always.chain(first..first + count) {
         smol::block_on(run_seed(seed, seconds));
     }
