--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -46,7 +46,7 @@
 pub enum Failure {
     /// no connection: {0}
     NotSent(String),
-    /// endpoint asked for no requests
+    /// endpoint takes no requests now
     Withheld,
     /// endpoint is full
     Shed,
--- a/src/gateway/forward/refusal.rs
+++ b/src/gateway/forward/refusal.rs
@@ -46,7 +46,7 @@
     }
 
     pub(super) fn refuse_paused(&mut self, pause: Duration) -> Reply {
-        let reason = "endpoints asked for no requests";
+        let reason = "endpoints take no requests now";
         self.record_result(reason, 503);
         Reply::Local(Refusal::not_before(reason, pause))
     }
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -163,6 +163,7 @@
         self.owned_since(electorate.owner(&endpoint.id))
     }
 
+    /// Returns since when this host decides if `owner` is it, `None` if another one does
     fn owned_since(&self, owner: Option<Owner>) -> Option<Instant> {
         let resumed_at = self.limits.resumed_at.get();
         let Some(owner) = owner else {
@@ -198,21 +199,13 @@
         let mut news = register.news(now, |run| owned.contains(&run));
         fastrand::shuffle(&mut news);
         news.truncate(MAX_NEWS);
-        let encoded = news.into_iter().map(|(run, statement)| {
-            let (rate, age) = encode_statement(now, statement);
-            (run, rate, age)
-        });
-        encoded.collect()
+        encode_news(now, news)
     }
 
     /// Returns all limits that this host knows, for hosts that start
     pub(super) fn all_limits(&self, now: Instant) -> Vec<LimitNews> {
         let news = self.limits.register.borrow().news(now, |_| true);
-        let encoded = news.into_iter().map(|(run, statement)| {
-            let (rate, age) = encode_statement(now, statement);
-            (run, rate, age)
-        });
-        encoded.collect()
+        encode_news(now, news)
     }
 
     /// Records what other hosts tell of limits
@@ -383,6 +376,14 @@
     }
 }
 
+fn encode_news(now: Instant, news: Vec<(EndpointRun, Statement)>) -> Vec<LimitNews> {
+    let encoded = news.into_iter().map(|(run, statement)| {
+        let (rate, age) = encode_statement(now, statement);
+        (run, rate, age)
+    });
+    encoded.collect()
+}
+
 /// Returns a statement with its age in milliseconds
 fn encode_statement(now: Instant, statement: Statement) -> (Option<f64>, u64) {
     let age = now.saturating_duration_since(statement.heard_at);
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -35,8 +35,9 @@
 /// How long it is told that an endpoint has no limit any more
 const WITHDRAWAL_TTL: Duration = Duration::from_secs(5);
 
-/// How long limits of endpoints that are not listed are kept; a lapsed entry may come back
-const UNLISTED_TTL: Duration = Duration::from_secs(60);
+/// How long limits of endpoints that are not listed, or that have none any more, are kept: a lapsed
+/// entry may come back, and old news may arrive late
+const UNUSED_TTL: Duration = Duration::from_secs(60);
 
 /// What an answer of an endpoint stated about its limit
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -200,13 +201,16 @@
         current.filter(|(run, _)| is_owned(*run)).collect()
     }
 
-    /// Drops the limits of endpoints that are gone
+    /// Drops the limits of endpoints that are gone, and what is known of those that have had none for
+    /// long
     pub fn expire(&mut self, now: Instant, is_listed: impl Fn(EndpointRun) -> bool) {
         self.0.retain(|run, limit| {
             if is_listed(*run) {
                 limit.listed_at = now;
             }
-            now < limit.listed_at + UNLISTED_TTL
+            let statement = limit.statement;
+            let is_unused = statement.rate.is_none() && now > statement.heard_at + UNUSED_TTL;
+            !is_unused && now < limit.listed_at + UNUSED_TTL
         });
     }
 }
--- a/src/limit/tests/mod.rs
+++ b/src/limit/tests/mod.rs
@@ -202,6 +202,19 @@
     assert_eq!(register.rate(RUN), None);
 }
 
+#[test]
+fn old_news_does_not_bring_back_a_limit_that_was_taken_back() {
+    let (mut register, start, _) = register(1.0);
+    let taken_back_at = start + Duration::from_secs(10);
+    register.record(taken_back_at, RUN, statement(None, taken_back_at));
+    let later = taken_back_at + Duration::from_secs(59);
+    register.expire(later, |_| true);
+    register.record(later, RUN, statement(Some(1.0), start));
+    assert_eq!(register.rate(RUN), None);
+    register.expire(later + Duration::from_secs(2), |_| true);
+    assert!(register.is_empty());
+}
+
 #[test]
 fn owners_tell_limits_and_for_a_while_that_there_is_none() {
     let (mut register, start, _) = register(1.0);
