Notice a pause before deciding as the owner; the list of hosts alone tells whether it is outdated

Cause, found by reading: a host that decides for itself looked up since when it is the owner before it noticed that it had been paused, so its first decision after a pause could rest on the time before; and any kind of object that could not be read made the list of hosts count as outdated.

Change: the pause is noticed first, as when another host asks (`limit::tests::schedules` plays this order); the list counts as outdated only while the entries of hosts cannot be read. `pierctl report` marks which host knew which limit since when.

--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -15,6 +15,7 @@
 use crate::id::HostId;
 use crate::limit::{PERMIT_TTL, Register, Statement, Verdict};
 use crate::message::timeout;
+use crate::platform::store::Kind;
 use crate::quarantine::EndpointRun;
 
 mod wire;
@@ -141,6 +142,11 @@
 }
 
 impl Gateway {
+    /// Returns whether hosts may have come or gone without this one's knowledge
+    fn is_host_list_outdated(&self) -> bool {
+        !self.mirror.borrow().is_readable(Kind::Hosts)
+    }
+
     /// Returns the host that hands out the permits of an endpoint
     pub(super) fn permit_owner(&self, now: Instant, endpoint: &Endpoint) -> Option<Owner> {
         let unanswered = self.limits.unanswered.borrow();
@@ -148,7 +154,7 @@
             let unanswered_at = unanswered.get(host);
             unanswered_at.is_some_and(|at| now < *at + PASS_OVER_TIME)
         };
-        let is_list_outdated = self.mirror.borrow().is_store_unreachable();
+        let is_list_outdated = self.is_host_list_outdated();
         let fleet = self.fleet.borrow();
         let electorate = fleet.electorate(now, &endpoint.region, is_list_outdated, is_passed_over);
         electorate.owner(&endpoint.id)
@@ -156,7 +162,7 @@
 
     /// Returns whether this host hands out the permits of an endpoint, and since when
     fn owns_permits_since(&self, now: Instant, endpoint: &Endpoint) -> Option<Instant> {
-        let is_list_outdated = self.mirror.borrow().is_store_unreachable();
+        let is_list_outdated = self.is_host_list_outdated();
         let fleet = self.fleet.borrow();
         // Hosts that did not answer this one may still decide for others.
         let electorate = fleet.electorate(now, &endpoint.region, is_list_outdated, |_| false);
@@ -184,7 +190,7 @@
         if register.is_empty() {
             return Vec::new();
         }
-        let is_list_outdated = self.mirror.borrow().is_store_unreachable();
+        let is_list_outdated = self.is_host_list_outdated();
         let fleet = self.fleet.borrow();
         let region = self.settings.borrow().region.clone();
         let electorate = fleet.electorate(now, &region, is_list_outdated, |_| false);
@@ -294,8 +300,8 @@
         if spare.is_some() {
             return Some(Permit { ends_at: spare });
         }
+        self.limits.check_pause(now);
         if let Some(owner_since) = self.owns_permits_since(now, endpoint) {
-            self.limits.check_pause(now);
             let verdict = self
                 .limits
                 .register
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -36,8 +36,9 @@
 const MAX_MILLIS: u64 = 600_000;
 
 /// Events that the page marks; the others are only counted
-const MARKED_EVENTS: [&str; 9] = [
+const MARKED_EVENTS: [&str; 10] = [
     "configuration",
+    "endpoint-limit",
     "evacuation",
     "host-silent",
     "started",
