--- a/review/standin/again.rs
+++ b/review/standin/again.rs
@@ -33,26 +33,33 @@
     let is_leaving = leaves.clone();
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let long_requests: [AtomicUsize; 4] = Default::default();
-    let site = Site::start(record, gate::HARROWGATE, 4, 7, TIMEOUT, move |index, request, _| {
-        let (_, target) = request.request_line();
-        let is_long = target.contains("long");
-        let mut steps = vec![Step::Pause(if is_long { WORK } else { KNOWN_WORK })];
-        let loses = has_trouble
-            && is_long
-            && index < 2
-            && LOST.contains(&long_requests[index].fetch_add(1, Ordering::SeqCst));
-        steps.push(match loses {
-            true => Step::Close,
-            false => {
-                let says = match index == 0 && is_leaving.load(Ordering::SeqCst) {
-                    true => "Server-Leaving: 1\r\nConnection: close\r\n",
-                    false => "",
-                };
-                Step::Bytes(answer(request, 200, says, b"done"))
-            }
-        });
-        steps
-    })?;
+    let site = Site::start(
+        record,
+        gate::HARROWGATE,
+        4,
+        7,
+        TIMEOUT,
+        move |index, request, _| {
+            let (_, target) = request.request_line();
+            let is_long = target.contains("long");
+            let mut steps = vec![Step::Pause(if is_long { WORK } else { KNOWN_WORK })];
+            let loses = has_trouble
+                && is_long
+                && index < 2
+                && LOST.contains(&long_requests[index].fetch_add(1, Ordering::SeqCst));
+            steps.push(match loses {
+                true => Step::Close,
+                false => {
+                    let says = match index == 0 && is_leaving.load(Ordering::SeqCst) {
+                        true => "Server-Leaving: 1\r\nConnection: close\r\n",
+                        false => "",
+                    };
+                    Step::Bytes(answer(request, 200, says, b"done"))
+                }
+            });
+            steps
+        },
+    )?;
     let address = site.caller_address();
     let send = |name: &'static str, count: usize| -> Vec<_> {
         let send_one = |number: usize| {
@@ -77,9 +84,13 @@
     std::thread::sleep(Duration::from_millis(300));
     let leaving = &site.endpoints[0];
     leaves.store(true, Ordering::SeqCst);
-    site.store.put("servers", &leaving.id, leaving.entry("draining", 2, 7));
+    site.store
+        .put("servers", &leaving.id, leaving.entry("draining", 2, 7));
     let acknowledged_at = Instant::now();
-    record.line(format!("the store has accepted that {} is draining", leaving.id));
+    record.line(format!(
+        "the store has accepted that {} is draining",
+        leaving.id
+    ));
     std::thread::sleep(SERVES);
     leaving.end();
     record.line(format!("{} ends", leaving.id));
@@ -91,8 +102,15 @@
     }
     for endpoint in &site.endpoints {
         for arrival in endpoint.arrivals() {
-            let end = if arrival.ended_at.is_some() { "runs it" } else { "its run is cut" };
-            record.line_at(arrival.at, format!("{} reaches {}: {end}", arrival.id, endpoint.id));
+            let end = if arrival.ended_at.is_some() {
+                "runs it"
+            } else {
+                "its run is cut"
+            };
+            record.line_at(
+                arrival.at,
+                format!("{} reaches {}: {end}", arrival.id, endpoint.id),
+            );
         }
     }
     if log.iter().filter(|(_, status)| *status == 200).count() < REQUESTS {
@@ -104,7 +122,11 @@
         .filter(|arrival| arrival.at > acknowledged_at + DRAIN)
         .map(|arrival| (arrival.id, (arrival.at - acknowledged_at).as_millis()))
         .collect();
-    let status_of = |id: &str| log.iter().find(|(sent, _)| sent == id).map_or(0, |(_, status)| *status);
+    let status_of = |id: &str| {
+        log.iter()
+            .find(|(sent, _)| sent == id)
+            .map_or(0, |(_, status)| *status)
+    };
     Ok(late
         .iter()
         .map(|(id, millis)| {
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -131,7 +131,12 @@
                 reader.stream.write_all(text.as_bytes()).ok();
                 continue;
             }
-            let arrival = Arrival { at: Instant::now(), id, is_reused, ended_at: None };
+            let arrival = Arrival {
+                at: Instant::now(),
+                id,
+                is_reused,
+                ended_at: None,
+            };
             is_reused = true;
             let number = {
                 let mut arrivals = self.arrivals.lock().unwrap();
--- a/review/standin/gate.rs
+++ b/review/standin/gate.rs
@@ -35,7 +35,11 @@
 
 /// Settings of the only host of a small deployment
 fn settings(deployment: Deployment, ip: Ipv4Addr, store: Ipv4Addr) -> String {
-    let Deployment { zone, region, bounds } = deployment;
+    let Deployment {
+        zone,
+        region,
+        bounds,
+    } = deployment;
     format!(
         "node_name: \"edge-{zone}-1\"\nrole: \"gate\"\nmachine_class: \"edge\"\n\
          serves: [\"edge\", \"control\", \"directory\"]\nip: \"{ip}\"\nzone: \"{zone}\"\n\
@@ -65,7 +69,8 @@
         let folder = std::env::temp_dir().join(format!("pier-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
         let file = folder.join("node.yaml");
-        std::fs::write(&file, settings(deployment, ip, store)).map_err(|error| error.to_string())?;
+        std::fs::write(&file, settings(deployment, ip, store))
+            .map_err(|error| error.to_string())?;
         let log = std::fs::File::create(folder.join("gate.log"));
         let log = log.map_err(|error| error.to_string())?;
         let process = Command::new(Path::new("target/release/pier-gate"))
@@ -74,7 +79,11 @@
             .stderr(Stdio::inherit())
             .spawn()
             .map_err(|error| format!("cannot start target/release/pier-gate: {error}"))?;
-        let gate = Self { ip, process, folder };
+        let gate = Self {
+            ip,
+            process,
+            folder,
+        };
         let deadline = Instant::now() + Duration::from_secs(15);
         while Instant::now() < deadline {
             if client::get_status((ip, 8167).into(), "/readiness") == Some(200) {
@@ -86,8 +95,9 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let id = self.process.id().to_string();
-        Command::new("kill").args([&format!("-{name}"), &id]).status().ok();
+        // The shell has its own `kill`.
+        let command = format!("kill -{name} {}", self.process.id());
+        Command::new("bash").args(["-c", &command]).status().ok();
     }
 
     /// Returns how the process ended, `None` while it runs
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -16,7 +16,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -33,7 +36,8 @@
     }
 
     pub fn says_close(&self) -> bool {
-        self.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
+        self.header("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
     }
 }
 
@@ -46,7 +50,10 @@
 impl Reader {
     pub fn new(stream: TcpStream) -> Self {
         stream.set_nodelay(true).ok();
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     pub fn set_timeout(&self, timeout: Duration) {
@@ -83,19 +90,26 @@
                 None => return Ok(None),
             }
         }
-        let mut message = Message { first_line, ..Message::default() };
+        let mut message = Message {
+            first_line,
+            ..Message::default()
+        };
         loop {
             match self.take_line()? {
                 None => return Ok(None),
                 Some(line) if line.is_empty() => break,
                 Some(line) => {
                     let (name, value) = line.split_once(':').unwrap_or((&line, ""));
-                    message.headers.push((name.to_owned(), value.trim().to_owned()));
+                    message
+                        .headers
+                        .push((name.to_owned(), value.trim().to_owned()));
                 }
             }
         }
-        let length: usize =
-            message.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let length: usize = message
+            .header("content-length")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let is_chunked = message.header("transfer-encoding").is_some();
         let whole = match is_chunked {
             true => self.read_chunks(&mut message.body),
--- a/review/standin/late.rs
+++ b/review/standin/late.rs
@@ -33,13 +33,23 @@
 pub fn play(record: &Record) -> Verdict {
     let leaves = Arc::new(AtomicBool::new(false));
     let is_leaving = leaves.clone();
-    let site = Site::start(record, gate::HARROWGATE, 4, 3, Duration::from_millis(2000), move |index, request, _| {
-        let says = match index == 0 && is_leaving.load(Ordering::SeqCst) {
-            true => "Server-Leaving: 1\r\nConnection: close\r\n",
-            false => "",
-        };
-        vec![Step::Pause(WORK), Step::Bytes(answer(request, 200, says, b"done"))]
-    })?;
+    let site = Site::start(
+        record,
+        gate::HARROWGATE,
+        4,
+        3,
+        Duration::from_millis(2000),
+        move |index, request, _| {
+            let says = match index == 0 && is_leaving.load(Ordering::SeqCst) {
+                true => "Server-Leaving: 1\r\nConnection: close\r\n",
+                false => "",
+            };
+            vec![
+                Step::Pause(WORK),
+                Step::Bytes(answer(request, 200, says, b"done")),
+            ]
+        },
+    )?;
     let address = site.caller_address();
     let send_group = |group: usize| {
         let clients: Vec<_> = (0..GROUP)
@@ -66,16 +76,27 @@
         std::thread::sleep((start + after).saturating_duration_since(Instant::now()));
     };
     // Heartbeat 2 gets no answer; 3 and 4 follow and change nothing but the sequence.
-    record.line(format!("{} writes heartbeat 2, ready; the store gives no answer", leaving.id));
+    record.line(format!(
+        "{} writes heartbeat 2, ready; the store gives no answer",
+        leaving.id
+    ));
     let mut log = send_group(0)?;
     wait_until(HEARTBEAT * 2);
-    site.store.put("servers", &leaving.id, leaving.entry("ready", 4, 3));
-    record.line(format!("the store has heartbeat 4 of {}, ready", leaving.id));
+    site.store
+        .put("servers", &leaving.id, leaving.entry("ready", 4, 3));
+    record.line(format!(
+        "the store has heartbeat 4 of {}, ready",
+        leaving.id
+    ));
     wait_until(LEAVES_AFTER);
     leaves.store(true, Ordering::SeqCst);
-    site.store.put("servers", &leaving.id, leaving.entry("draining", 5, 3));
+    site.store
+        .put("servers", &leaving.id, leaving.entry("draining", 5, 3));
     let acknowledged_at = Instant::now();
-    record.line(format!("the store has accepted heartbeat 5 of {}, draining", leaving.id));
+    record.line(format!(
+        "the store has accepted heartbeat 5 of {}, draining",
+        leaving.id
+    ));
     let (store, recorder, endpoint) = (site.store.clone(), record.clone(), leaving.clone());
     let has_trouble = site.has_trouble;
     let rest = std::thread::spawn(move || {
@@ -84,15 +105,24 @@
         };
         sleep_until(acknowledged_at + HEARTBEAT);
         store.put("servers", &endpoint.id, endpoint.entry("draining", 6, 3));
-        recorder.line(format!("the store has heartbeat 6 of {}, draining", endpoint.id));
+        recorder.line(format!(
+            "the store has heartbeat 6 of {}, draining",
+            endpoint.id
+        ));
         if has_trouble {
             sleep_until(start + CARRIED_OUT_AFTER);
             store.put("servers", &endpoint.id, endpoint.entry("ready", 2, 3));
-            recorder.line(format!("the store carries out heartbeat 2 of {}, ready", endpoint.id));
+            recorder.line(format!(
+                "the store carries out heartbeat 2 of {}, ready",
+                endpoint.id
+            ));
             // The next heartbeat sets it right.
             sleep_until(acknowledged_at + HEARTBEAT * 2);
             store.put("servers", &endpoint.id, endpoint.entry("draining", 7, 3));
-            recorder.line(format!("the store has heartbeat 7 of {}, draining", endpoint.id));
+            recorder.line(format!(
+                "the store has heartbeat 7 of {}, draining",
+                endpoint.id
+            ));
         }
         sleep_until(acknowledged_at + SERVES);
         endpoint.end();
@@ -107,8 +137,15 @@
     }
     for endpoint in &site.endpoints {
         for arrival in endpoint.arrivals() {
-            let end = if arrival.ended_at.is_some() { "runs it" } else { "its run is cut" };
-            record.line_at(arrival.at, format!("{} reaches {}: {end}", arrival.id, endpoint.id));
+            let end = if arrival.ended_at.is_some() {
+                "runs it"
+            } else {
+                "its run is cut"
+            };
+            record.line_at(
+                arrival.at,
+                format!("{} reaches {}: {end}", arrival.id, endpoint.id),
+            );
         }
     }
     if log.iter().filter(|(.., status)| *status == 200).count() < GROUP {
@@ -123,7 +160,8 @@
         return Ok(Vec::new());
     };
     let failed = late.iter().filter(|arrival| {
-        log.iter().any(|(id, _, status)| *id == arrival.id && *status != 200)
+        log.iter()
+            .any(|(id, _, status)| *id == arrival.id && *status != 200)
     });
     Ok(vec![format!(
         "DRAIN: {} requests reached {} later than {} ms after the store's ack (the last one {} ms \
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -55,14 +55,19 @@
         let millis = at.saturating_duration_since(self.start).as_millis();
         let mut file = self.file.lock().unwrap();
         writeln!(file, "{millis:>6} ms  {}", text.as_ref()).ok();
-        self.lines.lock().unwrap().push((millis, text.as_ref().to_owned()));
+        self.lines
+            .lock()
+            .unwrap()
+            .push((millis, text.as_ref().to_owned()));
     }
 
     /// Writes all lines once more, in the order of their times
     fn finish(&self, path: &str) {
         let mut lines = self.lines.lock().unwrap().clone();
         lines.sort_by_key(|(millis, _)| *millis);
-        let lines = lines.iter().map(|(millis, text)| format!("{millis:>6} ms  {text}\n"));
+        let lines = lines
+            .iter()
+            .map(|(millis, text)| format!("{millis:>6} ms  {text}\n"));
         std::fs::write(path, lines.collect::<String>()).ok();
     }
 }
@@ -99,9 +104,8 @@
         for index in 0..endpoints {
             let program = program.clone();
             let address = SocketAddr::from((ip(10 + index), 8080));
-            let answer = move |request: &http::Message, number| {
-                program(usize::from(index), request, number)
-            };
+            let answer =
+                move |request: &http::Message, number| program(usize::from(index), request, number);
             let id = format!("i-{index}");
             let endpoint = Endpoint::start(&id, address, deployment.zone, answer).map_err(text)?;
             store.put("servers", &endpoint.id, endpoint.entry("ready", 1, slots));
@@ -111,7 +115,11 @@
         let gate = Gate::start(deployment, ip(100), ip(1))?;
         record.line(format!("the host is ready at {}:8161", gate.ip));
         let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-        record.line(if has_trouble { "with the disruption" } else { "without the disruption" });
+        record.line(if has_trouble {
+            "with the disruption"
+        } else {
+            "without the disruption"
+        });
         std::thread::sleep(IN_TOUCH);
         Ok(Self {
             record: record.clone(),
@@ -151,8 +159,15 @@
             timeout.as_millis()
         )
     };
-    let routes = [route("look", "safe"), route("lodge", "unsafe"), route("pack", "download")];
-    let spec = format!("{{\"version\":{version},\"routes\":{{{}}},{SERVICES}}}", routes.join(","));
+    let routes = [
+        route("look", "safe"),
+        route("lodge", "unsafe"),
+        route("pack", "download"),
+    ];
+    let spec = format!(
+        "{{\"version\":{version},\"routes\":{{{}}},{SERVICES}}}",
+        routes.join(",")
+    );
     store.put("config", "main", spec);
 }
 
@@ -190,7 +205,11 @@
             return ExitCode::from(2);
         }
     };
-    let record = Record { start: Instant::now(), file, lines: Arc::default() };
+    let record = Record {
+        start: Instant::now(),
+        file,
+        lines: Arc::default(),
+    };
     let verdict: Verdict = match name.as_str() {
         "again" => again::play(&record),
         "late" => late::play(&record),
--- a/review/standin/silence.rs
+++ b/review/standin/silence.rs
@@ -23,36 +23,45 @@
 pub fn play(record: &Record) -> Verdict {
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let recorder = record.clone();
-    let site = Site::start(record, gate::QGSLA, 4, 3, TIMEOUT, move |index, request, _| {
-        let body: Vec<u8> = (0..BODY).map(|number| number as u8).collect();
-        let bytes = answer(request, 200, "", &body);
-        let (first, rest) = bytes.split_at(bytes.len() - (BODY - FIRST_PART));
-        let (_, target) = request.request_line();
-        let pauses = has_trouble && target.contains("pause");
-        let pause = if pauses { PAUSE } else { Duration::ZERO };
-        if pauses {
-            recorder.line(format!("i-{index} will pause for {} ms in {target}", PAUSE.as_millis()));
-        }
-        vec![
-            Step::Pause(WORK),
-            Step::Bytes(first.to_vec()),
-            Step::Pause(pause),
-            Step::Bytes(rest.to_vec()),
-        ]
-    })?;
+    let site = Site::start(
+        record,
+        gate::QGSLA,
+        4,
+        3,
+        TIMEOUT,
+        move |index, request, _| {
+            let body: Vec<u8> = (0..BODY).map(|number| number as u8).collect();
+            let bytes = answer(request, 200, "", &body);
+            let (first, rest) = bytes.split_at(bytes.len() - (BODY - FIRST_PART));
+            let (_, target) = request.request_line();
+            let pauses = has_trouble && target.contains("pause");
+            let pause = if pauses { PAUSE } else { Duration::ZERO };
+            if pauses {
+                recorder.line(format!(
+                    "i-{index} will pause for {} ms in {target}",
+                    PAUSE.as_millis()
+                ));
+            }
+            vec![
+                Step::Pause(WORK),
+                Step::Bytes(first.to_vec()),
+                Step::Pause(pause),
+                Step::Bytes(rest.to_vec()),
+            ]
+        },
+    )?;
     let address = site.caller_address();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             std::thread::spawn(move || -> Result<_, String> {
-                let mut connection = client::connect(address, TIME_LIMIT * 2)
-                    .map_err(|error| error.to_string())?;
+                let mut connection =
+                    client::connect(address, TIME_LIMIT * 2).map_err(|error| error.to_string())?;
                 let mut log = Vec::new();
                 for (name, gap) in [("first", 1000), ("pause", 0)] {
                     let id = format!("{name}-{number}");
                     let at = Instant::now();
                     let target = format!("/pack/{id}");
-                    let answer =
-                        client::exchange(&mut connection, "GET", &target, &id, TIME_LIMIT);
+                    let answer = client::exchange(&mut connection, "GET", &target, &id, TIME_LIMIT);
                     log.push((id, at, Instant::now(), answer));
                     std::thread::sleep(Duration::from_millis(gap));
                 }
@@ -79,7 +88,10 @@
                 Err(error) => error.clone(),
             };
             record.line_at(at, format!("client sends {id}"));
-            record.line_at(until, format!("{id}: {text}, {} ms after it was sent", took.as_millis()));
+            record.line_at(
+                until,
+                format!("{id}: {text}, {} ms after it was sent", took.as_millis()),
+            );
             let is_whole = answer.as_ref().is_ok_and(|answer| answer.is_whole);
             served += usize::from(is_whole);
             if !is_whole && took < TIME_LIMIT {
@@ -91,12 +103,18 @@
         for arrival in endpoint.arrivals() {
             let end = match arrival.ended_at {
                 Some(end) => {
-                    record.line_at(end, format!("{} has sent all of {}", endpoint.id, arrival.id));
+                    record.line_at(
+                        end,
+                        format!("{} has sent all of {}", endpoint.id, arrival.id),
+                    );
                     "runs it"
                 }
                 None => "its connection is closed on it",
             };
-            record.line_at(arrival.at, format!("{} reaches {}: {end}", arrival.id, endpoint.id));
+            record.line_at(
+                arrival.at,
+                format!("{} reaches {}: {end}", arrival.id, endpoint.id),
+            );
         }
     }
     match served < CLIENTS {
--- a/review/standin/split.rs
+++ b/review/standin/split.rs
@@ -61,9 +61,19 @@
 }
 
 pub fn play(record: &Record) -> Verdict {
-    let site = Site::start(record, gate::QGSLA, 4, 7, Duration::from_millis(3000), |_, request, _| {
-        vec![Step::Pause(WORK), Step::Bytes(answer(request, 200, "", b"done"))]
-    })?;
+    let site = Site::start(
+        record,
+        gate::QGSLA,
+        4,
+        7,
+        Duration::from_millis(3000),
+        |_, request, _| {
+            vec![
+                Step::Pause(WORK),
+                Step::Bytes(answer(request, 200, "", b"done")),
+            ]
+        },
+    )?;
     let way = site.address(200, 8161);
     start_way(way, site.caller_address()).map_err(|error| error.to_string())?;
     // The usual requests, after which the host knows how long they take.
@@ -138,10 +148,17 @@
         record.line_at(sent_at, format!("client has sent {}", ids[1]));
         let arrivals = site.endpoints.iter().flat_map(|endpoint| {
             let arrivals = endpoint.arrivals().into_iter();
-            arrivals.map(|arrival| (arrival, endpoint.id.clone())).collect::<Vec<_>>()
+            arrivals
+                .map(|arrival| (arrival, endpoint.id.clone()))
+                .collect::<Vec<_>>()
         });
-        let reached = arrivals.into_iter().find(|(arrival, _)| arrival.id == ids[1]);
-        let status = answered.iter().find(|(id, ..)| *id == ids[1]).map(|(_, status, _)| *status);
+        let reached = arrivals
+            .into_iter()
+            .find(|(arrival, _)| arrival.id == ids[1]);
+        let status = answered
+            .iter()
+            .find(|(id, ..)| *id == ids[1])
+            .map(|(_, status, _)| *status);
         match (&reached, status) {
             (Some((arrival, endpoint)), status) => {
                 let text = status.map_or("no answer".to_owned(), |status| status.to_string());
--- a/review/standin/spoiled.rs
+++ b/review/standin/spoiled.rs
@@ -25,16 +25,32 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let recorder = record.clone();
     let timeout = Duration::from_millis(3000);
-    let site = Site::start(record, gate::QGSLA, 4, 7, timeout, move |index, request, number| {
-        let is_spoiled = has_trouble && index == 0 && number % SPOILED_OF == SPOILED;
-        let seconds = if is_spoiled { "9223372036854775807" } else { "10" };
-        if is_spoiled {
-            let id = request.header("attempt-id").unwrap_or("-");
-            recorder.line(format!("i-0 answers {id} with Keep-Alive: timeout={seconds}"));
-        }
-        let headers = format!("Keep-Alive: timeout={seconds}\r\n");
-        vec![Step::Pause(WORK), Step::Bytes(answer(request, 200, &headers, b"done"))]
-    })?;
+    let site = Site::start(
+        record,
+        gate::QGSLA,
+        4,
+        7,
+        timeout,
+        move |index, request, number| {
+            let is_spoiled = has_trouble && index == 0 && number % SPOILED_OF == SPOILED;
+            let seconds = if is_spoiled {
+                "9223372036854775807"
+            } else {
+                "10"
+            };
+            if is_spoiled {
+                let id = request.header("attempt-id").unwrap_or("-");
+                recorder.line(format!(
+                    "i-0 answers {id} with Keep-Alive: timeout={seconds}"
+                ));
+            }
+            let headers = format!("Keep-Alive: timeout={seconds}\r\n");
+            vec![
+                Step::Pause(WORK),
+                Step::Bytes(answer(request, 200, &headers, b"done")),
+            ]
+        },
+    )?;
     let address = site.caller_address();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
@@ -44,8 +60,9 @@
                     return log;
                 };
                 for group in 0..GROUPS {
-                    let ids: Vec<String> =
-                        (0..GROUP).map(|count| format!("{number}-{group}-{count}")).collect();
+                    let ids: Vec<String> = (0..GROUP)
+                        .map(|count| format!("{number}-{group}-{count}"))
+                        .collect();
                     let text: String = ids
                         .iter()
                         .map(|id| client::request("GET", &format!("/look/{id}"), id, TIME_LIMIT))
@@ -97,7 +114,10 @@
     }
     for endpoint in &site.endpoints {
         for arrival in endpoint.arrivals() {
-            record.line_at(arrival.at, format!("{} reaches {}", arrival.id, endpoint.id));
+            record.line_at(
+                arrival.at,
+                format!("{} reaches {}", arrival.id, endpoint.id),
+            );
         }
     }
     match served < CLIENTS * GROUP {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -82,7 +82,11 @@
         let spec = spec.as_ref();
         let mut state = self.0.0.lock().unwrap();
         let key = (kind.to_owned(), name.to_owned());
-        if state.objects.get(&key).is_some_and(|(_, known)| known == spec) {
+        if state
+            .objects
+            .get(&key)
+            .is_some_and(|(_, known)| known == spec)
+        {
             return;
         }
         state.revision += 1;
@@ -165,7 +169,11 @@
                 if self.0.0.lock().unwrap().objects.contains_key(&key) {
                     return (409, b"{}".to_vec());
                 }
-                self.put(&kind, &name, member(&request.body, "spec").unwrap_or_default());
+                self.put(
+                    &kind,
+                    &name,
+                    member(&request.body, "spec").unwrap_or_default(),
+                );
                 (200, b"{}".to_vec())
             }
             ("PUT", Some(name)) => {
@@ -173,7 +181,11 @@
                 if !self.0.0.lock().unwrap().objects.contains_key(&key) {
                     return (404, b"{}".to_vec());
                 }
-                self.put(&kind, &name, member(&request.body, "spec").unwrap_or_default());
+                self.put(
+                    &kind,
+                    &name,
+                    member(&request.body, "spec").unwrap_or_default(),
+                );
                 (200, b"{}".to_vec())
             }
             ("DELETE", Some(name)) => match self.remove(&kind, &name) {
@@ -200,7 +212,10 @@
         let end = Instant::now() + wait;
         let mut state = self.0.0.lock().unwrap();
         loop {
-            let new = state.history.iter().filter(|(of, at, _)| of == kind && *at > after);
+            let new = state
+                .history
+                .iter()
+                .filter(|(of, at, _)| of == kind && *at > after);
             let events: Vec<Vec<u8>> = new.map(|(_, _, event)| event.clone()).collect();
             let now = Instant::now();
             if !events.is_empty() || now >= end {
--- a/review/standin/unreadable.rs
+++ b/review/standin/unreadable.rs
@@ -3,8 +3,8 @@
 //! Rule DRAIN: no request reaches an endpoint later than `drain_ms` after the store acknowledged that
 //! it is draining. Requests come in groups, so the leaving endpoint has nothing to do in between.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::endpoint::{Step, answer};
@@ -31,13 +31,23 @@
 pub fn play(record: &Record) -> Verdict {
     let leaves = Arc::new(AtomicBool::new(false));
     let is_leaving = leaves.clone();
-    let site = Site::start(record, gate::HARROWGATE, 4, 3, Duration::from_millis(2000), move |index, request, _| {
-        let says = match index == 0 && is_leaving.load(Ordering::SeqCst) {
-            true => "Server-Leaving: 1\r\nConnection: close\r\n",
-            false => "",
-        };
-        vec![Step::Pause(WORK), Step::Bytes(answer(request, 200, says, b"done"))]
-    })?;
+    let site = Site::start(
+        record,
+        gate::HARROWGATE,
+        4,
+        3,
+        Duration::from_millis(2000),
+        move |index, request, _| {
+            let says = match index == 0 && is_leaving.load(Ordering::SeqCst) {
+                true => "Server-Leaving: 1\r\nConnection: close\r\n",
+                false => "",
+            };
+            vec![
+                Step::Pause(WORK),
+                Step::Bytes(answer(request, 200, says, b"done")),
+            ]
+        },
+    )?;
     let address = site.caller_address();
     let send_group = |group: usize| {
         let clients: Vec<_> = (0..GROUP)
@@ -66,15 +76,21 @@
             _ => ("escapes that stand for no text", ESCAPES),
         };
         site.store.put("servers", "i-other-writer", text);
-        record.line(format!("another writer puts servers/i-other-writer: {name}"));
+        record.line(format!(
+            "another writer puts servers/i-other-writer: {name}"
+        ));
     }
     let next_group = Instant::now() + GROUP_INTERVAL;
     std::thread::sleep(Duration::from_millis(1000));
     let leaving = &site.endpoints[0];
     leaves.store(true, Ordering::SeqCst);
-    site.store.put("servers", &leaving.id, leaving.entry("draining", 2, 3));
+    site.store
+        .put("servers", &leaving.id, leaving.entry("draining", 2, 3));
     let acknowledged_at = Instant::now();
-    record.line(format!("the store has accepted that {} is draining", leaving.id));
+    record.line(format!(
+        "the store has accepted that {} is draining",
+        leaving.id
+    ));
     let (endpoint, recorder) = (leaving.clone(), record.clone());
     let end = std::thread::spawn(move || {
         std::thread::sleep((acknowledged_at + SERVES) - Instant::now());
@@ -90,8 +106,15 @@
     }
     for endpoint in &site.endpoints {
         for arrival in endpoint.arrivals() {
-            let end = if arrival.ended_at.is_some() { "runs it" } else { "its run is cut" };
-            record.line_at(arrival.at, format!("{} reaches {}: {end}", arrival.id, endpoint.id));
+            let end = if arrival.ended_at.is_some() {
+                "runs it"
+            } else {
+                "its run is cut"
+            };
+            record.line_at(
+                arrival.at,
+                format!("{} reaches {}: {end}", arrival.id, endpoint.id),
+            );
         }
     }
     if log.iter().filter(|(.., status)| *status == 200).count() < GROUP {
@@ -106,7 +129,8 @@
         return Ok(Vec::new());
     };
     let failed = late.iter().filter(|arrival| {
-        log.iter().any(|(id, _, status)| *id == arrival.id && *status != 200)
+        log.iter()
+            .any(|(id, _, status)| *id == arrival.id && *status != 200)
     });
     Ok(vec![format!(
         "DRAIN: {} requests reached {} later than {} ms after the store's ack (the last one {} ms \
