Review: a run that is broken off ends all that it started

A run that hit its time limit exited with 124 and left its folder, and a host outlived the case program when that was killed alone.

--- a/review/standin/gate.rs
+++ b/review/standin/gate.rs
@@ -79,6 +79,8 @@
             .stderr(Stdio::inherit())
             .spawn()
             .map_err(|error| format!("cannot start target/release/pier-gate: {error}"))?;
+        // For the script, which ends the host if this program is broken off.
+        std::fs::write(folder.join("gate.pid"), process.id().to_string()).ok();
         let gate = Self {
             ip,
             process,
