Close the connection of a request that panics; bound numbers in headers

Cause: the idle connections added the stated seconds to the present time, which panicked. The panic ended the request's task, which nobody awaits; its place in the order of answers was dropped, and the next request took that for "answered".

A request that ends without an answer now closes the connection after the answers before its own; those behind it are not written. Panics are contained in the task of the request, connection or loop, logged with the request's id and counted; loops start again after a backoff. Numbers in headers are brought into stated bounds where they are decoded, so that no sum behind it overflows.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -2,7 +2,8 @@
 //!
 //! Pipelined requests on one connection run concurrently and are answered in order. A request with
 //! a long body runs alone, as its body is streamed. When a caller closes its connection, its
-//! requests in flight are cancelled.
+//! requests in flight are cancelled. A request whose task panics closes the connection after the
+//! answers before its own.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -15,10 +16,10 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{Task, io::AsyncWriteExt};
 
-use super::Gateway;
 use super::forward::forward;
 use super::reply::{self, Refusal, Reply};
 use super::upload::{PREFIX_BYTES, Upload};
+use super::{Gateway, supervise};
 use crate::message::{Connection, Error, Length, Request, timeout};
 use crate::platform::header;
 
@@ -65,14 +66,11 @@
 
 fn handle(gateway: &Rc<Gateway>, stream: TcpStream) {
     let handler = gateway.clone();
-    gateway
-        .open_connections
-        .set(gateway.open_connections.get() + 1);
+    let guard = CountGuard::new(gateway, |gateway| &gateway.open_connections);
     let served = async move {
-        serve_connection(&handler, stream).await;
-        handler
-            .open_connections
-            .set(handler.open_connections.get() - 1);
+        let _guard = guard;
+        let served = serve_connection(&handler, stream);
+        supervise::contain(&handler, "connection", served).await;
     };
     gateway.spawn(served).detach();
 }
@@ -106,19 +104,40 @@
     connection: Connection,
     pipeline: Rc<Pipeline>,
     tasks: Vec<Task<()>>,
-    /// Closes when the latest request read is answered
+    /// Gets a message when the latest request read is answered
     last_answered: Receiver<()>,
 }
 
 /// Position of a request in the order of answers
 struct PipelineSlot {
+    pipeline: Rc<Pipeline>,
     sequence: u64,
-    /// Closes when the previous request is answered
+    /// Gets a message when the previous request is answered; closes without one if it never is
     previous: Receiver<()>,
-    /// Dropped when this request is answered
+    /// The same for this request
     answered: Sender<()>,
 }
 
+impl PipelineSlot {
+    /// Waits for the previous request; returns whether it was answered
+    async fn wait_for_turn(&self) -> bool {
+        self.previous.recv().await.is_ok()
+    }
+
+    /// Lets the next request be answered
+    fn finish(self) {
+        // The channel has room for the only message.
+        let _ = self.answered.try_send(());
+    }
+}
+
+impl Drop for PipelineSlot {
+    fn drop(&mut self) {
+        let unanswered = &self.pipeline.unanswered;
+        unanswered.set(unanswered.get().saturating_sub(1));
+    }
+}
+
 /// Whether the connection can serve another request
 #[derive(PartialEq, Eq)]
 enum ConnectionState {
@@ -136,7 +155,7 @@
         };
         let (first_answered, last_answered) = bounded(1);
         // The first request has no predecessor.
-        drop(first_answered);
+        let _ = first_answered.try_send(());
         Self {
             gateway,
             connection,
@@ -251,6 +270,7 @@
             .unanswered
             .set(self.pipeline.unanswered.get() + 1);
         PipelineSlot {
+            pipeline: self.pipeline.clone(),
             sequence: self.pipeline.requests_read.get(),
             previous: std::mem::replace(&mut self.last_answered, last_answered),
             answered,
@@ -265,15 +285,15 @@
         arrived: Instant,
     ) -> ConnectionState {
         let slot = self.next_slot();
-        let (gateway, pipeline) = (self.gateway.clone(), self.pipeline.clone());
+        let gateway = self.gateway.clone();
         let keep_alive = request.keep_alive;
         let spawner = gateway.clone();
-        let guard = RunningGuard::new(&gateway);
+        let guard = CountGuard::new(&gateway, |gateway| &gateway.running_requests);
         let task = spawner.spawn(async move {
             let _guard = guard;
             let mut upload = Upload::Buffered(&body);
-            let reply = forward(&gateway, &request, &mut upload, arrived).await;
-            write_answer(&gateway, &pipeline, slot, &request, reply, !keep_alive).await;
+            let reply = run_request(&gateway, &request, &mut upload, arrived).await;
+            write_answer(&gateway, slot, &request, reply, !keep_alive).await;
         });
         self.tasks.push(task);
         if keep_alive {
@@ -293,19 +313,18 @@
     ) -> ConnectionState {
         let slot = self.next_slot();
         let gateway = self.gateway.clone();
-        let _guard = RunningGuard::new(&gateway);
+        let _guard = CountGuard::new(&gateway, |gateway| &gateway.running_requests);
         let mut upload = Upload::Streamed {
             prefix,
             caller: &mut self.connection,
             remaining: &mut length,
             started: false,
         };
-        let reply = forward(&gateway, &request, &mut upload, arrived).await;
+        let reply = run_request(&gateway, &request, &mut upload, arrived).await;
         let has_unread_body = length != Length::Bytes(0);
-        let pipeline = self.pipeline.clone();
-        let close = !request.keep_alive || has_unread_body;
+        let close = !request.keep_alive || has_unread_body || reply.is_none();
         let done = async {
-            write_answer(&gateway, &pipeline, slot, &request, reply, close).await;
+            write_answer(&gateway, slot, &request, reply, close).await;
         };
         done.or(self.connection.wait_until_closed(MAX_READ_AHEAD_BYTES))
             .await;
@@ -369,55 +388,85 @@
     }
 }
 
-/// Counts a running request while it exists
-struct RunningGuard(Rc<Gateway>);
+/// Adds one to a count of the gateway while it exists
+struct CountGuard {
+    gateway: Rc<Gateway>,
+    count: fn(&Gateway) -> &Cell<usize>,
+}
 
-impl RunningGuard {
-    fn new(gateway: &Rc<Gateway>) -> Self {
-        gateway
-            .running_requests
-            .set(gateway.running_requests.get() + 1);
-        Self(gateway.clone())
+impl CountGuard {
+    fn new(gateway: &Rc<Gateway>, count: fn(&Gateway) -> &Cell<usize>) -> Self {
+        let cell = count(gateway);
+        cell.set(cell.get() + 1);
+        Self {
+            gateway: gateway.clone(),
+            count,
+        }
     }
 }
 
-impl Drop for RunningGuard {
+impl Drop for CountGuard {
     fn drop(&mut self) {
-        self.0
-            .running_requests
-            .set(self.0.running_requests.get() - 1);
+        let cell = (self.count)(&self.gateway);
+        cell.set(cell.get() - 1);
     }
 }
 
-/// Writes an answer once all earlier answers are written
+/// Runs a request; returns `None` if its task panicked, so that nobody knows whether it ran
+async fn run_request(
+    gateway: &Rc<Gateway>,
+    request: &Request,
+    upload: &mut Upload<'_>,
+    arrived: Instant,
+) -> Option<Reply> {
+    let id = header::attempt_id(&request.headers).unwrap_or("-");
+    let forwarded = forward(gateway, request, upload, arrived);
+    supervise::contain_request(gateway, id, forwarded).await
+}
+
+/// Writes an answer once all earlier answers are written; without one, closes the connection
 async fn write_answer(
     gateway: &Gateway,
-    pipeline: &Pipeline,
     slot: PipelineSlot,
     request: &Request,
-    reply: Reply,
+    reply: Option<Reply>,
     close: bool,
 ) {
-    // The previous request drops its sender once its answer is written.
-    let _ = slot.previous.recv().await;
+    if !slot.wait_for_turn().await {
+        // The connection is closed after the answers before the missing one.
+        return;
+    }
+    let pipeline = &slot.pipeline;
     let mut writer = pipeline.writer.lock().await;
     // Requests read after this one must still be answered, so only the last answer may close.
     let is_last = pipeline.requests_read.get() == slot.sequence;
     let close = is_last && (close || gateway.is_stopping());
-    if close {
+    if close || reply.is_none() {
         pipeline.closing.set(true);
     }
     let attempt_id = header::attempt_id(&request.headers);
-    let written = reply::write(&mut writer, reply, attempt_id, close).await;
-    pipeline.unanswered.set(pipeline.unanswered.get() - 1);
-    if let Err(error) = written {
-        log::debug!("cannot write an answer to the caller: {error}");
-        pipeline.closing.set(true);
-        if let Err(error) = writer.shutdown(std::net::Shutdown::Both) {
-            log::debug!("cannot shut down the caller's connection: {error}");
+    let written = match reply {
+        Some(reply) => {
+            let written = reply::write(&mut writer, reply, attempt_id, close);
+            let written = supervise::contain_request(gateway, attempt_id.unwrap_or("-"), written);
+            written.await
+        }
+        None => None,
+    };
+    match written {
+        Some(Ok(())) => {
+            if close && let Err(error) = writer.shutdown(std::net::Shutdown::Write) {
+                log::debug!("cannot shut down the caller's connection: {error}");
+            }
+            drop(writer);
+            return slot.finish();
         }
-    } else if close && let Err(error) = writer.shutdown(std::net::Shutdown::Write) {
+        Some(Err(error)) => log::debug!("cannot write an answer to the caller: {error}"),
+        None => {}
+    }
+    // An answer behind this one would be taken for it.
+    pipeline.closing.set(true);
+    if let Err(error) = writer.shutdown(std::net::Shutdown::Both) {
         log::debug!("cannot shut down the caller's connection: {error}");
     }
-    drop(slot.answered);
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -32,6 +32,7 @@
     crashes: Counter<u64>,
     broken_off: Counter<u64>,
     new_eras: Counter<u64>,
+    panics: Counter<u64>,
     stated_limits: Counter<u64>,
     permits: Counter<u64>,
     state_gauge: Gauge<u64>,
@@ -79,6 +80,10 @@
                 "pier_gate_store_eras",
                 "Times that the store came back from an older copy, by kind of object",
             ),
+            panics: counter(
+                "pier_gate_panics",
+                "Panics that ended a request, a connection or a loop, by task",
+            ),
             stated_limits: counter(
                 "pier_gate_stated_limits",
                 "Answers in which endpoints state a limit for all hosts, by whether it is a number",
@@ -131,6 +136,11 @@
         self.new_eras.add(1, &[KeyValue::new("kind", kind.name())]);
     }
 
+    /// Counts a panic of a task
+    pub fn count_panic(&self, task: &'static str) {
+        self.panics.add(1, &[KeyValue::new("task", task)]);
+    }
+
     /// Counts an answer in which an endpoint states a limit
     pub fn count_stated_limit(&self, is_number: bool) {
         self.stated_limits
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 mod store_check;
 mod store_gate;
 mod stream;
+mod supervise;
 mod upload;
 mod watch;
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,7 +17,7 @@
 use super::ports::Port;
 use super::{
     Gateway, accept, bootstrap, era, holdover_sync, log as gateway_log, peers, ports, probe,
-    quarantine, stop, store_check, watch,
+    quarantine, stop, store_check, supervise, watch,
 };
 use crate::error::Error;
 use crate::platform::node;
@@ -83,56 +83,65 @@
     let fields = [("host", gateway.settings.borrow().host.as_str().into())];
     gateway.recorder.event("started", &fields);
     for (listener, port) in listeners {
-        gateway
-            .spawn(ports::serve(gateway.clone(), listener, port))
-            .detach();
+        run_loop(&gateway, "port", move |gateway| {
+            ports::serve(gateway, listener.clone(), port)
+        });
     }
     follow_store(&gateway, &socket);
-    gateway
-        .spawn(peers::report_load(gateway.clone(), socket.clone()))
-        .detach();
-    gateway
-        .spawn(peers::ping_and_report_demand(gateway.clone(), socket))
-        .detach();
-    gateway
-        .spawn(peers::maintain_entry(gateway.clone()))
-        .detach();
-    gateway.spawn(store_check::run(gateway.clone())).detach();
-    gateway.spawn(probe::run(gateway.clone())).detach();
-    gateway
-        .spawn(quarantine::maintain_records(gateway.clone()))
-        .detach();
-    gateway.spawn(bootstrap::run(gateway.clone())).detach();
-    gateway.spawn(era::maintain(gateway.clone())).detach();
-    gateway.spawn(holdover_sync::run(gateway.clone())).detach();
+    let report_socket = socket.clone();
+    run_loop(&gateway, "load reports", move |gateway| {
+        peers::report_load(gateway, report_socket.clone())
+    });
+    run_loop(&gateway, "pings", move |gateway| {
+        peers::ping_and_report_demand(gateway, socket.clone())
+    });
+    run_loop(&gateway, "own entry", peers::maintain_entry);
+    run_loop(&gateway, "store check", store_check::run);
+    run_loop(&gateway, "probes", probe::run);
+    run_loop(&gateway, "crash records", quarantine::maintain_records);
+    run_loop(&gateway, "bootstrap", bootstrap::run);
+    run_loop(&gateway, "era", era::maintain);
+    run_loop(&gateway, "holdover", holdover_sync::run);
     let (stop_sender, stop_receiver) = bounded(1);
-    let accept_task = gateway.spawn(accept::serve(
-        gateway.clone(),
-        caller_listener,
-        stop_receiver,
-    ));
+    let acceptor = gateway.clone();
+    let accept_task = supervise::keep_running(&gateway, "accept", move || {
+        accept::serve(
+            acceptor.clone(),
+            caller_listener.clone(),
+            stop_receiver.clone(),
+        )
+    });
     wait_for_stop(&gateway, signals, &options.settings_path).await;
     stop::stop(&gateway, accept_task, stop_sender).await;
     Ok(())
 }
 
+/// Runs a loop as long as the process
+fn run_loop<F>(
+    gateway: &Rc<Gateway>,
+    name: &'static str,
+    start: impl Fn(Rc<Gateway>) -> F + 'static,
+) where
+    F: Future<Output = ()> + 'static,
+{
+    let owner = gateway.clone();
+    supervise::keep_running(gateway, name, move || start(owner.clone())).detach();
+}
+
 /// Follows the store; reports from other hosts can trigger a resync
 fn follow_store(gateway: &Rc<Gateway>, socket: &UdpSocket) {
     let mut resync_senders = BTreeMap::new();
     for kind in Kind::ALL {
         let (resync_sender, resync_receiver) = bounded(1);
         resync_senders.insert(kind, resync_sender);
-        gateway
-            .spawn(watch::follow(gateway.clone(), kind, resync_receiver))
-            .detach();
+        run_loop(gateway, kind.name(), move |gateway| {
+            watch::follow(gateway, kind, resync_receiver.clone())
+        });
     }
-    gateway
-        .spawn(peers::receive_reports(
-            gateway.clone(),
-            socket.clone(),
-            resync_senders,
-        ))
-        .detach();
+    let socket = socket.clone();
+    run_loop(gateway, "reports", move |gateway| {
+        peers::receive_reports(gateway, socket.clone(), resync_senders.clone())
+    });
 }
 
 /// Waits for SIGTERM or SIGINT; reloads the settings on SIGHUP and when the file changes
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -10,4 +10,5 @@
 mod source;
 mod store_gate;
 mod stream;
+mod supervise;
 mod watch;
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -226,9 +226,9 @@
             }
         };
         let source_replaced = source_replaced(&gateway, source, is_reader);
-        count_store_read(&gateway, source, true);
+        let store_read = source.is_store.then(|| StoreRead::new(&gateway));
         let result = resync_requested.or(polled).or(source_replaced).await;
-        count_store_read(&gateway, source, false);
+        drop(store_read);
         let calls = session.take_call_count();
         if source.is_store {
             gateway.metrics.count_store_calls(kind, calls);
@@ -305,14 +305,19 @@
     }
 }
 
-/// Counts the reads under way at the store
-fn count_store_read(gateway: &Gateway, source: Source, begins: bool) {
-    if source.is_store {
-        let reads = gateway.store_reads.get();
-        gateway.store_reads.set(match begins {
-            true => reads + 1,
-            false => reads - 1,
-        });
+/// Counts a read under way at the store while it exists
+struct StoreRead<'a>(&'a Gateway);
+
+impl<'a> StoreRead<'a> {
+    fn new(gateway: &'a Gateway) -> Self {
+        gateway.store_reads.set(gateway.store_reads.get() + 1);
+        Self(gateway)
+    }
+}
+
+impl Drop for StoreRead<'_> {
+    fn drop(&mut self) {
+        self.0.store_reads.set(self.0.store_reads.get() - 1);
     }
 }
 
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::bound;
 use crate::message::{Headers, Request, Response};
 use crate::util::stable_hash;
 
@@ -77,7 +78,7 @@
 /// Returns how long the caller waits for a response
 pub fn request_timeout(headers: &Headers) -> Option<Duration> {
     let millis = headers.get(REQUEST_DEADLINE)?.parse().ok()?;
-    Some(Duration::from_millis(millis))
+    Some(bound::millis(millis))
 }
 
 /// Returns the hash of the affinity key of a request
@@ -151,9 +152,7 @@
         Ok(seconds) if seconds >= 0.0 => seconds,
         _ => return Some(Err(text)),
     };
-    Some(Ok(
-        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
-    ))
+    Some(Ok(bound::seconds(seconds)))
 }
 
 /// Returns the requests a second that an endpoint takes from all hosts together, if it states any
@@ -182,7 +181,7 @@
         .split(',')
         .map(|number| number.trim().parse());
     match (numbers.next()?, numbers.next()?) {
-        (Ok(running), Ok(waiting)) => Some((running, waiting)),
+        (Ok(running), Ok(waiting)) => Some((bound::count(running), bound::count(waiting))),
         _ => None,
     }
 }
@@ -195,7 +194,7 @@
 /// Returns the remaining warm-up time of the endpoint
 pub fn warmup_remaining(headers: &Headers) -> Option<Duration> {
     let millis = headers.get(WARMUP_MILLIS)?.parse().ok()?;
-    Some(Duration::from_millis(millis))
+    Some(bound::millis(millis))
 }
 
 /// Returns how long the endpoint keeps an idle connection open, if stated
@@ -205,5 +204,6 @@
         .flat_map(|value| value.split(','));
     let mut pairs = parameters.filter_map(|parameter| parameter.trim().split_once('='));
     let (_, seconds) = pairs.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
+    let seconds = Duration::from_secs(seconds.trim().parse().ok()?);
+    Some(bound::duration(seconds))
 }
--- a/src/platform/standin/endpoint.rs
+++ b/src/platform/standin/endpoint.rs
@@ -49,6 +49,8 @@
     pub retry_after: Option<&'static str>,
     /// Text of the `Server-Limit` header of all answers
     pub server_limit: Option<&'static str>,
+    /// Header line of all answers, without its end
+    pub extra_header: Option<&'static str>,
     /// Second copies of answers, sent when the next request on the connection has arrived
     pub late_copies: LateCopies,
 }
@@ -248,6 +250,10 @@
             if lock(&self.state).faults.leaving {
                 insert_header(&mut bytes, "Server-Leaving: 1\r\n");
             }
+            let extra_header = lock(&self.state).faults.extra_header;
+            if let Some(line) = extra_header {
+                insert_header(&mut bytes, &format!("{line}\r\n"));
+            }
             let server_limit = lock(&self.state).faults.server_limit;
             if let Some(limit) = server_limit {
                 insert_header(&mut bytes, &format!("Server-Limit: {limit}\r\n"));
