--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::holdover::Digest;
+use crate::bound;
 use crate::fleet::{Report, Watermark};
 use crate::id::{HostId, ServiceId};
 use crate::platform::store::{Era, Kind};
@@ -82,9 +83,9 @@
 
 /// Decodes a message, also one of an earlier version
 pub fn decode(bytes: &[u8]) -> Result<Message, postcard::Error> {
-    let ((report, mut watermarks), rest): ((Report, BTreeMap<Kind, Watermark>), _) =
+    let ((mut report, mut watermarks), rest): ((Report, BTreeMap<Kind, Watermark>), _) =
         postcard::take_from_bytes(bytes)?;
-    let mut suspects = Vec::new();
+    let mut suspects: Vec<(Key, Record)> = Vec::new();
     let mut cannot_read_store = false;
     let mut region_demand = BTreeMap::new();
     let mut reads_store = false;
@@ -115,15 +116,27 @@
             watermark.era = eras.get(kind).copied().unwrap_or(0);
         }
     }
+    report.demand = bounded_demand(report.demand);
+    for running in report.running.values_mut() {
+        *running = bound::count(*running);
+    }
+    for (_, record) in &mut suspects {
+        record.age = bound::duration(record.age);
+    }
     Ok(Message {
         report,
         watermarks,
         suspects,
         cannot_read_store,
-        region_demand,
+        region_demand: bounded_demand(region_demand),
         reads_store,
-        store_reader: store_reader.map(|(host, age)| (host, Duration::from_millis(age))),
+        store_reader: store_reader.map(|(host, age)| (host, bound::millis(age))),
         held,
         limits,
     })
 }
+
+fn bounded_demand(demand: BTreeMap<ServiceId, f32>) -> BTreeMap<ServiceId, f32> {
+    let bounded = |(service, slots)| (service, bound::ratio(f64::from(slots)) as f32);
+    demand.into_iter().map(bounded).collect()
+}
--- a/src/gateway/era.rs
+++ b/src/gateway/era.rs
@@ -14,6 +14,7 @@
 use super::apply::apply_list;
 use super::holdover::{HOLD_TIME, Holdover, Report};
 use super::{Gateway, quarantine};
+use crate::bound;
 use crate::id::HostId;
 use crate::message::{Connection, timeout};
 use crate::platform::store::{Era, Event, Kind, Object};
@@ -195,10 +196,11 @@
 pub fn adopt(gateway: &Gateway, host: &HostId, mut report: Report) {
     let now = Instant::now();
     let withdrawn = std::mem::take(&mut report.withdrawn);
-    gateway
-        .catalog
-        .borrow_mut()
-        .adopt_withdrawn(now, withdrawn, report.restore_remaining);
+    gateway.catalog.borrow_mut().adopt_withdrawn(
+        now,
+        withdrawn,
+        bound::duration(report.restore_remaining),
+    );
     gateway.record_limit_news(now, &report.limits);
     let mut holdover = gateway.holdover.borrow_mut();
     holdover.adopt(now, report);
--- a/src/platform/node.rs
+++ b/src/platform/node.rs
@@ -9,6 +9,7 @@
 use displaydoc::Display;
 use serde::Deserialize;
 
+use crate::bound;
 use crate::gateway::Settings;
 use crate::retry::Bound;
 
@@ -137,8 +138,10 @@
 /// Parses the text of a settings file
 pub fn parse(text: &str) -> Result<Settings, String> {
     let file: SettingsFile = serde_saphyr::from_str(text).map_err(|error| error.to_string())?;
-    let seconds =
-        |value: f64| Duration::try_from_secs_f64(value).map_err(|error| error.to_string());
+    let seconds = |value: f64| {
+        let seconds = Duration::try_from_secs_f64(value).map_err(|error| error.to_string());
+        seconds.map(bound::duration)
+    };
     let [first_port, last_port] = file.internal_ports;
     if last_port < first_port {
         return Err(format!(
@@ -159,7 +162,7 @@
         store_address: file.platform.address,
         // The capacity of a host is proportional to its CPU share, unless its link is the
         // bottleneck: a link of 100 Mbit/s counts as much as a whole core.
-        weight: file.limits.cpu_share.min(file.limits.link_mbps / 100.0),
+        weight: bound::ratio(file.limits.cpu_share.min(file.limits.link_mbps / 100.0)),
         memory_bytes: file.limits.memory_mb << 20,
         max_descriptors: file.limits.max_fds,
         grace_period: seconds(file.bounds.grace_s)?,
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 
 use super::store::Object;
+use crate::bound;
 use crate::catalog::Endpoint;
 use crate::fleet::Member;
 use crate::id::{RegionId, ZoneId};
@@ -120,8 +121,8 @@
     let services = spec.services.into_iter().map(|(name, entry)| {
         let service = Service {
             health_path: entry.health_path,
-            warmup: seconds_or_zero(entry.warmup_s),
-            warmup_rate: entry.warmup_per_s,
+            warmup: bound::seconds(entry.warmup_s),
+            warmup_rate: bound::ratio(entry.warmup_per_s),
         };
         (name, service)
     });
@@ -152,7 +153,7 @@
         .into_iter()
         .map(|split| WeightedService {
             service: split.service,
-            weight: split.weight.max(0.0),
+            weight: bound::ratio(split.weight),
         })
         .collect();
     if let Some(service) = entry.service.filter(|_| services.is_empty()) {
@@ -168,7 +169,7 @@
         "safe" | "download" => Execution::Idempotent,
         _ => Execution::AtMostOnce,
     };
-    let from_millis = |millis: f64| seconds_or_zero(millis / 1000.0);
+    let from_millis = |millis: f64| bound::seconds(millis / 1000.0);
     Ok(Route {
         name: name.clone(),
         host: entry.host.to_ascii_lowercase(),
@@ -204,11 +205,11 @@
         address: entry.address.parse().ok()?,
         region: region.unwrap_or_else(|| entry.zone.clone()),
         zone: entry.zone,
-        slots: entry.max_concurrency,
+        slots: bound::count(entry.max_concurrency),
         draining,
         start_unix_millis: entry.born,
         sequence: entry.sequence.as_u64().unwrap_or(0),
-        warmup_remaining: seconds_or_zero(entry.warmup_left_ms / 1000.0),
+        warmup_remaining: bound::seconds(entry.warmup_left_ms / 1000.0),
     })
 }
 
@@ -243,7 +244,7 @@
             .as_str()
             .and_then(|address| address.parse().ok()),
         incarnation: spec["incarnation"].as_u64()?,
-        weight: spec["weight"].as_f64()?,
+        weight: bound::ratio(spec["weight"].as_f64()?),
         revision: object.revision,
     })
 }
@@ -282,15 +283,11 @@
     let record = quarantine::Record {
         crashed: crashed?,
         cleared: BTreeSet::new(),
-        age: Duration::from_millis(unix_millis(now).saturating_sub(last_crash)),
+        age: bound::millis(unix_millis(now).saturating_sub(last_crash)),
     };
     Some((quarantine_key(&object.name)?, record))
 }
 
-fn seconds_or_zero(value: f64) -> Duration {
-    Duration::try_from_secs_f64(value).unwrap_or(Duration::ZERO)
-}
-
 fn millis_or(value: Option<u64>, default: Duration) -> Duration {
-    value.map_or(default, Duration::from_millis)
+    value.map_or(default, bound::millis)
 }
