Decode each object of the store by itself

Cause: the body of a list or a watch was decoded as one document, so one string that is no text, one deep entry or one number beyond all types made all of it malformed, for as long as the object existed.

Objects are decoded one by one now. One that cannot be read keeps its name and has the content null, which no kind accepts; it is logged once with the reason and counted. A host whose entry became unreadable writes it again.

--- a/src/gateway/apply.rs
+++ b/src/gateway/apply.rs
@@ -3,23 +3,24 @@
 use std::time::{Duration, Instant};
 
 use super::{Gateway, era, quarantine};
-use crate::id::EndpointId;
+use crate::id::{EndpointId, HostId};
 use crate::platform::record;
 use crate::platform::store::{Event, Kind, Object};
 
 /// Applies a complete list
 pub fn apply_list(gateway: &Gateway, kind: Kind, objects: &[Object]) {
     let now = Instant::now();
+    gateway.unreadable.borrow_mut().retain_listed(kind, objects);
     match kind {
         Kind::Configuration => objects
             .iter()
             .for_each(|object| apply_configuration(gateway, object)),
         Kind::Endpoints => {
             let zones = gateway.settings.borrow().zones.clone();
-            let list = objects
-                .iter()
-                .filter_map(|object| record::decode_endpoint(object, &zones));
-            let started = gateway.catalog.borrow_mut().replace(now, list.collect());
+            let list = decode_all(gateway, kind, objects, |object| {
+                record::decode_endpoint(object, &zones)
+            });
+            let started = gateway.catalog.borrow_mut().replace(now, list);
             for id in &started {
                 gateway.pool.borrow_mut().remove_endpoint(id);
                 quarantine::record_endpoint_start(gateway, id);
@@ -28,13 +29,40 @@
         }
         Kind::Evacuations => apply_evacuations(gateway),
         Kind::Hosts => {
-            let list = objects.iter().filter_map(record::decode_member).collect();
+            let list = decode_all(gateway, kind, objects, record::decode_member);
             gateway.fleet.borrow_mut().replace(now, list);
         }
         Kind::Quarantine => quarantine::apply_list(gateway, objects),
     }
 }
 
+/// Decodes the objects of a list that can be read
+fn decode_all<T>(
+    gateway: &Gateway,
+    kind: Kind,
+    objects: &[Object],
+    decode: impl Fn(&Object) -> Option<T>,
+) -> Vec<T> {
+    let objects = objects.iter();
+    let decoded = objects.filter_map(|object| decode_one(gateway, kind, object, &decode));
+    decoded.collect()
+}
+
+/// Decodes an object, and records whether it can be read
+pub fn decode_one<T>(
+    gateway: &Gateway,
+    kind: Kind,
+    object: &Object,
+    decode: impl Fn(&Object) -> Option<T>,
+) -> Option<T> {
+    let decoded = decode(object);
+    match decoded {
+        Some(_) => gateway.unreadable.borrow_mut().forget(kind, &object.name),
+        None => gateway.record_unreadable(kind, Some(&object.name), "invalid content"),
+    }
+    decoded
+}
+
 /// Logs which endpoints a list showed as started
 fn record_listed_starts(gateway: &Gateway, started: &[EndpointId]) {
     const MAX_IDS: usize = 20;
@@ -51,6 +79,9 @@
 
 /// Applies one change
 pub fn apply_event(gateway: &Gateway, kind: Kind, event: Event) {
+    if let Event::Removed(name) = &event {
+        gateway.unreadable.borrow_mut().forget(kind, name);
+    }
     match (kind, event) {
         (Kind::Configuration, Event::Put(object)) => apply_configuration(gateway, &object),
         (Kind::Configuration, Event::Removed(name)) => {
@@ -58,18 +89,23 @@
         }
         (Kind::Endpoints, event) => apply_endpoint(gateway, event),
         (Kind::Evacuations, _) => apply_evacuations(gateway),
-        (Kind::Hosts, Event::Put(object)) => match record::decode_member(&object) {
-            Some(member) => gateway.fleet.borrow_mut().put(Instant::now(), member),
-            None => log::warn!("cannot read the entry of host {}", object.name),
-        },
-        (Kind::Hosts, Event::Removed(name)) => {
-            gateway.fleet.borrow_mut().remove(Instant::now(), &name);
-            gateway.pool.borrow_mut().remove_host(&name);
+        (Kind::Hosts, Event::Put(object)) => {
+            match decode_one(gateway, kind, &object, record::decode_member) {
+                Some(member) => gateway.fleet.borrow_mut().put(Instant::now(), member),
+                // The host itself notices that its entry is gone and writes it again.
+                None => remove_host(gateway, &object.name),
+            }
         }
+        (Kind::Hosts, Event::Removed(name)) => remove_host(gateway, &name),
         (Kind::Quarantine, event) => quarantine::apply_event(gateway, event),
     }
 }
 
+fn remove_host(gateway: &Gateway, host: &HostId) {
+    gateway.fleet.borrow_mut().remove(Instant::now(), host);
+    gateway.pool.borrow_mut().remove_host(host);
+}
+
 fn apply_configuration(gateway: &Gateway, object: &Object) {
     if object.name != record::CONFIGURATION_NAME || !era::may_configure(gateway) {
         return;
@@ -86,7 +122,11 @@
     let now = Instant::now();
     let zones = gateway.settings.borrow().zones.clone();
     let (name, endpoint) = match &event {
-        Event::Put(object) => (&object.name, record::decode_endpoint(object, &zones)),
+        Event::Put(object) => {
+            let decode = |object: &Object| record::decode_endpoint(object, &zones);
+            let endpoint = decode_one(gateway, Kind::Endpoints, object, decode);
+            (&object.name, endpoint)
+        }
         Event::Removed(name) => (name, None),
     };
     let mut catalog = gateway.catalog.borrow_mut();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -33,6 +33,7 @@
     broken_off: Counter<u64>,
     new_eras: Counter<u64>,
     panics: Counter<u64>,
+    unreadable: Counter<u64>,
     stated_limits: Counter<u64>,
     permits: Counter<u64>,
     state_gauge: Gauge<u64>,
@@ -84,6 +85,10 @@
                 "pier_gate_panics",
                 "Panics that ended a request, a connection or a loop, by task",
             ),
+            unreadable: counter(
+                "pier_gate_unreadable_objects",
+                "Objects of the store that cannot be read, by kind; each once",
+            ),
             stated_limits: counter(
                 "pier_gate_stated_limits",
                 "Answers in which endpoints state a limit for all hosts, by whether it is a number",
@@ -141,6 +146,12 @@
         self.panics.add(1, &[KeyValue::new("task", task)]);
     }
 
+    /// Counts an object of the store that cannot be read
+    pub fn count_unreadable(&self, kind: Kind) {
+        self.unreadable
+            .add(1, &[KeyValue::new("kind", kind.name())]);
+    }
+
     /// Counts an answer in which an endpoint states a limit
     pub fn count_stated_limit(&self, is_number: bool) {
         self.stated_limits
@@ -231,6 +242,10 @@
             gateway.catalog.borrow().leaving_count() as u64,
         ),
         ("limited_endpoints", gateway.limits.count() as u64),
+        (
+            "unreadable_objects",
+            gateway.unreadable.borrow().len() as u64,
+        ),
         ("hosts", gateway.fleet.borrow().size() as u64),
         (
             "store_dark",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -56,6 +56,7 @@
 mod store_gate;
 mod stream;
 mod supervise;
+mod unreadable;
 mod upload;
 mod watch;
 
@@ -102,6 +103,8 @@
     pub idle_connections: RefCell<idle::Connections>,
     /// Requests that crashed endpoints
     pub quarantine: RefCell<Register>,
+    /// Objects of the store that cannot be read
+    unreadable: RefCell<unreadable::Register>,
     /// Decision log
     pub recorder: Recorder,
     /// Counters and histograms
@@ -167,6 +170,7 @@
             offers: RefCell::default(),
             idle_connections: RefCell::default(),
             quarantine: RefCell::default(),
+            unreadable: RefCell::default(),
             recorder: Recorder::new(),
             metrics: Metrics::new(),
             balancers: RefCell::default(),
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -10,7 +10,7 @@
 
 use smol::Timer;
 
-use super::{Gateway, record as log_record};
+use super::{Gateway, apply, record as log_record};
 use crate::id::EndpointId;
 use crate::message::Request;
 use crate::platform::store::{Error, Event, Kind, Object, Session};
@@ -153,7 +153,9 @@
 /// Applies a complete list of the store's records
 pub fn apply_list(gateway: &Gateway, objects: &[Object]) {
     let now = SystemTime::now();
-    let records = objects.iter().filter_map(|object| decode(object, now));
+    let records = objects
+        .iter()
+        .filter_map(|object| decode(gateway, object, now));
     let records: Vec<(Key, Record)> = records.collect();
     let listed: BTreeSet<Key> = records.iter().map(|(key, _)| *key).collect();
     gateway.quarantine.borrow_mut().retain_stored(&listed);
@@ -166,7 +168,7 @@
 pub fn apply_event(gateway: &Gateway, event: Event) {
     match event {
         Event::Put(object) => {
-            if let Some((key, record)) = decode(&object, SystemTime::now()) {
+            if let Some((key, record)) = decode(gateway, &object, SystemTime::now()) {
                 merge(gateway, key, &record, Source::Store);
             }
         }
@@ -178,11 +180,9 @@
     }
 }
 
-fn decode(object: &Object, now: SystemTime) -> Option<(Key, Record)> {
-    let decoded = record::decode_quarantine(object, now);
-    if decoded.is_none() {
-        log::warn!("cannot read the record of request {}", object.name);
-    }
+fn decode(gateway: &Gateway, object: &Object, now: SystemTime) -> Option<(Key, Record)> {
+    let decode = |object: &Object| record::decode_quarantine(object, now);
+    let decoded = apply::decode_one(gateway, Kind::Quarantine, object, decode);
     decoded.filter(|(_, record)| record.age < MAX_STORED_AGE)
 }
 
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -367,7 +367,9 @@
 ) -> Result<Position, Error> {
     let Some(position) = progress.position else {
         let consistency = list_consistency(gateway, kind, progress, source);
-        let (objects, position) = session.list(kind, consistency).await?;
+        let listed = session.list(kind, consistency).await;
+        record_unreadable(gateway, session, kind);
+        let (objects, position) = listed?;
         if position.era < gateway.mirror.borrow().era() {
             return Err(Error::OldEra(position.era));
         }
@@ -388,7 +390,9 @@
         true => relayed_watch_wait(),
         false => watch_wait(kind, source.is_store),
     };
-    let (events, next) = session.watch(kind, position, wait).await?;
+    let watched = session.watch(kind, position, wait).await;
+    record_unreadable(gateway, session, kind);
+    let (events, next) = watched?;
     mark_store_regained(gateway, kind, source);
     set_origin(gateway, session, kind, source, is_reader);
     gateway
@@ -407,6 +411,12 @@
     Ok(next)
 }
 
+fn record_unreadable(gateway: &Gateway, session: &mut Session, kind: Kind) {
+    for object in session.take_unreadable() {
+        gateway.record_unreadable(kind, object.name.as_deref(), &object.reason);
+    }
+}
+
 /// Returns whether the list of another host lacks changes that this host has read
 pub fn is_behind(gateway: &Gateway, kind: Kind, listed: &[Object], position: Position) -> bool {
     let mirror = gateway.mirror.borrow();
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 pub mod front;
 pub mod header;
 pub mod node;
+mod page;
 pub mod record;
 mod replication;
 mod response_time;
--- a/src/platform/replication.rs
+++ b/src/platform/replication.rs
@@ -6,6 +6,7 @@
 use serde_json::{Value, json};
 
 use super::store::{Event, Kind, Object, Position};
+use crate::bound;
 
 /// Request for objects that one host of this system sends to another
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,11 +27,11 @@
 }
 
 impl CopyAge {
-    /// Reads the age from a response, `None` if it has none
-    pub fn from_response(response: &Value) -> Option<Self> {
+    /// Returns the age that a response states, `None` if it states none
+    pub fn from_fields(age_millis: Option<u64>, hops: Option<u64>) -> Option<Self> {
         Some(Self {
-            age: Duration::from_millis(response["age_ms"].as_u64()?),
-            hops: u8::try_from(response["hops"].as_u64()?).ok()?,
+            age: bound::millis(age_millis?),
+            hops: u8::try_from(hops?).ok()?,
         })
     }
 
@@ -54,7 +55,7 @@
     };
     Some(match number_parameter("watch") {
         Some(revision) => {
-            let wait = Duration::from_millis(number_parameter("wait_ms").unwrap_or(0));
+            let wait = bound::millis(number_parameter("wait_ms").unwrap_or(0));
             let era = number_parameter("era").unwrap_or(0);
             Request::Watch(kind, Position { era, revision }, wait)
         }
--- a/src/platform/standin/store.rs
+++ b/src/platform/standin/store.rs
@@ -69,6 +69,8 @@
     compacted_revision: u64,
     faults: Faults,
     call_count: u64,
+    /// Contents that are sent as these bytes, each by the text that stands for it in its object
+    raw_contents: BTreeMap<String, Vec<u8>>,
 }
 
 /// Shared handle of a stand-in store
@@ -129,6 +131,15 @@
         lock(&self.0).write(kind, name, spec)
     }
 
+    /// Creates or replaces an object whose content is sent as these bytes, which may be no JSON
+    pub fn write_raw(&self, kind: &str, name: &str, content: &[u8]) -> u64 {
+        let mut state = lock(&self.0);
+        let stand_in = format!("raw-content-{}", state.raw_contents.len());
+        let text = Value::from(stand_in.clone()).to_string();
+        state.raw_contents.insert(text, content.to_vec());
+        state.write(kind, name, stand_in.into())
+    }
+
     /// Deletes an object
     pub fn remove(&self, kind: &str, name: &str) {
         lock(&self.0).remove(kind, name);
@@ -194,12 +205,14 @@
                 0 => String::new(),
                 era => format!("Store-Era: {era}\r\n"),
             };
-            let text = format!(
-                "HTTP/1.1 {status} -\r\n{era}Content-Length: {}\r\n\r\n{body}",
+            let body = lock(&self.0).with_raw_contents(body);
+            let head = format!(
+                "HTTP/1.1 {status} -\r\n{era}Content-Length: {}\r\n\r\n",
                 body.len()
             );
+            let bytes = [head.as_bytes(), &body].concat();
             let deadline = Instant::now() + Duration::from_secs(5);
-            if connection.write(text.as_bytes(), deadline).await.is_err() {
+            if connection.write(&bytes, deadline).await.is_err() {
                 return;
             }
         }
@@ -258,6 +271,25 @@
 }
 
 impl State {
+    /// Returns a body in which the raw contents are in their places
+    fn with_raw_contents(&self, body: String) -> Vec<u8> {
+        let mut bytes = body.into_bytes();
+        for (stand_in, content) in &self.raw_contents {
+            let stand_in = stand_in.as_bytes();
+            let mut start = 0;
+            let find = |bytes: &[u8]| {
+                let mut parts = bytes.windows(stand_in.len());
+                parts.position(|part| part == stand_in)
+            };
+            while let Some(offset) = find(&bytes[start..]) {
+                let found = start + offset;
+                bytes.splice(found..found + stand_in.len(), content.iter().copied());
+                start = found + content.len();
+            }
+        }
+        bytes
+    }
+
     fn record_change(&mut self, kind: &str, removed: bool, object: Value) {
         let event = json!({ "removed": removed, "object": object });
         self.history
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -16,6 +16,8 @@
 use serde_json::{Value, json};
 
 use super::header;
+use super::page;
+pub use super::page::Unreadable;
 pub use super::replication::{CopyAge, Request, list_response, parse_request, watch_response};
 use super::response_time::{self, ResponseTime};
 use crate::message::{self, Connection, timeout};
@@ -153,6 +155,8 @@
     states_era: bool,
     /// Age of the copy that the last response came from, `None` at the store itself
     copy_age: Option<CopyAge>,
+    /// Objects that the last lists and watches contained and that cannot be read
+    unreadable: Vec<Unreadable>,
 }
 
 /// Response to a call
@@ -173,6 +177,7 @@
             response_time: ResponseTime::default(),
             states_era: false,
             copy_age: None,
+            unreadable: Vec::new(),
         }
     }
 
@@ -186,6 +191,11 @@
         self.copy_age
     }
 
+    /// Returns and forgets the objects of lists and watches that cannot be read
+    pub fn take_unreadable(&mut self) -> Vec<Unreadable> {
+        std::mem::take(&mut self.unreadable)
+    }
+
     /// Sets the address of the store; closes the connection if it changes
     pub fn set_address(&mut self, address: SocketAddr) {
         if self.address != address {
@@ -220,35 +230,30 @@
             let path = list_path(kind, consistency, &last_name);
             let response = self.read_page(&path).await?;
             let era = response.era;
-            let page = parse_response(&response)?;
-            self.copy_age = CopyAge::from_response(&page);
+            let page = page::decode_list(expect_body(&response)?)?;
+            self.copy_age = page.copy_age;
+            self.unreadable.extend(page.unreadable);
             if position.is_some_and(|position| position.era != era) {
                 return Err(Error::NewEra(era));
             }
-            let revision = page["store_revision"].as_u64();
             // A watch from the lowest revision also returns changes made between two pages, and
             // those that a page of a serializable list does not contain yet.
-            let page_position = revision.map(|revision| Position { era, revision });
+            let page_position = page.revision.map(|revision| Position { era, revision });
             position = match (position, page_position) {
                 (Some(position), Some(page_position)) => Some(position.min(page_position)),
                 (position, page_position) => position.or(page_position),
             };
-            let items = page["items"].as_array();
-            let items = items.ok_or_else(|| Error::Malformed("items is missing".to_owned()))?;
-            objects.extend(items.iter().filter_map(decode_object));
+            // The next page begins after the last name that can be read.
+            let last = page.objects.last();
+            let last = last.map(|object| percent_encode(&object.name));
+            objects.extend(page.objects);
             if objects.len() > MAX_LISTED_OBJECTS {
                 return Err(Error::Malformed("the list is too long".to_owned()));
             }
-            let last = items
-                .last()
-                .and_then(|item| item["metadata"]["name"].as_str())
-                .map(percent_encode);
-            match (page["has_more"].as_bool(), last) {
-                (Some(true), Some(last)) if last != last_name => last_name = last,
-                (Some(true), Some(_)) => {
-                    return Err(Error::Malformed("a page of the list repeats".to_owned()));
-                }
-                _ => break,
+            match last {
+                _ if !page.has_more => break,
+                Some(last) if last != last_name => last_name = last,
+                _ => return Err(Error::Malformed("a page of the list repeats".to_owned())),
             }
         }
         let position =
@@ -304,27 +309,16 @@
         }
         let response = self.read(&path, wait).await?;
         let answered_era = response.era;
-        let response = parse_response(&response)?;
-        self.copy_age = CopyAge::from_response(&response);
+        let changes = page::decode_changes(expect_body(&response)?)?;
+        self.copy_age = changes.copy_age;
         match answered_era.cmp(&era) {
             Ordering::Less => return Err(Error::OldEra(answered_era)),
             Ordering::Greater => return Err(Error::NewEra(answered_era)),
             Ordering::Equal => {}
         }
-        let events = response["events"]
-            .as_array()
-            .map(Vec::as_slice)
-            .unwrap_or_default();
-        let events = events.iter().filter_map(|event| {
-            let object = &event["object"];
-            match event["removed"].as_bool() {
-                Some(true) => Some(Event::Removed(object["metadata"]["name"].as_str()?.into())),
-                _ => decode_object(object).map(Event::Put),
-            }
-        });
-        let next = response["store_revision"].as_u64().unwrap_or(revision);
-        let revision = next.max(revision);
-        Ok((events.collect(), Position { era, revision }))
+        self.unreadable.extend(changes.unreadable);
+        let revision = changes.revision.unwrap_or(revision).max(revision);
+        Ok((changes.events, Position { era, revision }))
     }
 
     /// Reads one object, which may be seconds old or not exist, to see whether the store serves calls
@@ -340,7 +334,7 @@
             percent_encode(name)
         );
         let response = self.call("GET", &path, None, timeout_after).await?;
-        match parse_response(&response) {
+        match expect_body(&response) {
             Ok(_) | Err(Error::NotFound) => Ok(()),
             Err(error) => Err(error),
         }
@@ -352,7 +346,7 @@
         let response = self
             .call("POST", &path, Some(&object_body(name, spec)), CALL_TIMEOUT)
             .await?;
-        parse_response(&response).map(|_| ())
+        expect_body(&response).map(|_| ())
     }
 
     /// Replaces an object; fails with [`Error::NotFound`] if it does not exist
@@ -361,7 +355,7 @@
         let response = self
             .call("PUT", &path, Some(&object_body(name, spec)), CALL_TIMEOUT)
             .await?;
-        parse_response(&response).map(|_| ())
+        expect_body(&response).map(|_| ())
     }
 
     /// Deletes an object; if `revision` is set, only if the object still has that revision
@@ -378,7 +372,7 @@
             path.push_str(&format!("?revision={revision}"));
         }
         let response = self.call("DELETE", &path, None, CALL_TIMEOUT).await?;
-        match parse_response(&response) {
+        match expect_body(&response) {
             Ok(_) | Err(Error::NotFound) => Ok(()),
             Err(error) => Err(error),
         }
@@ -452,13 +446,10 @@
     json!({ "metadata": { "name": name, "finalizers": [] }, "spec": spec })
 }
 
-fn parse_response(response: &Response) -> Result<Value, Error> {
-    let body = &response.body;
+/// Returns the body of a success; other statuses are errors
+fn expect_body(response: &Response) -> Result<&[u8], Error> {
     match response.status {
-        200..=299 if body.is_empty() => Ok(Value::Null),
-        200..=299 => {
-            serde_json::from_slice(body).map_err(|error| Error::Malformed(error.to_string()))
-        }
+        200..=299 => Ok(&response.body),
         404 => Err(Error::NotFound),
         409 => Err(Error::Conflict),
         410 => Err(Error::Compacted),
@@ -466,15 +457,6 @@
     }
 }
 
-fn decode_object(item: &Value) -> Option<Object> {
-    let object = Object {
-        name: item["metadata"]["name"].as_str()?.into(),
-        revision: item["metadata"]["revision"].as_u64().unwrap_or(0),
-        spec: item["spec"].clone(),
-    };
-    Some(object)
-}
-
 /// Percent-encodes a name for a path or query
 fn percent_encode(name: &str) -> String {
     let mut encoded = String::new();
