Do not let an older entry of a run take back a later one

Cause: the catalog took any entry; sequence numbers were compared only while the store was being restored. Now an entry with a lower number than the known or lately removed one of the same run has no effect, is logged and counted. After a restore the entries count again, as before. The entry of a host's run that was removed lately is not offered to callers until that run reports.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -54,7 +54,7 @@
     pub draining: bool,
     /// Unix time of the start in milliseconds, which reveals a restart under the same id
     pub start_unix_millis: Option<u64>,
-    /// Number of entries that this run wrote; a lower one is older
+    /// Number of entries that this run wrote; a lower one is older, 0 if the entry has none
     pub sequence: u64,
     /// Remaining warm-up time when the entry was read
     pub warmup_remaining: Duration,
@@ -85,6 +85,8 @@
     Updated,
     /// The entry is the same as before
     Unchanged,
+    /// The entry is older than the known one of the same run and has no effect
+    Outdated,
 }
 
 /// Known endpoints and evacuated zones
@@ -142,6 +144,9 @@
         if has_ended {
             self.restore_end = None;
             self.removed.clear();
+            // Endpoints that wrote nothing since are as the restored entries say.
+            let endpoints = self.endpoints.values_mut();
+            endpoints.for_each(|endpoint| endpoint.sequence = 0);
         }
         has_ended
     }
@@ -195,6 +200,22 @@
         }
     }
 
+    /// Returns whether this run of an endpoint wrote a later entry, which is known
+    ///
+    /// The store may carry out a write seconds after it was sent, when a later one is in force.
+    fn is_superseded(&self, endpoint: &Endpoint) -> bool {
+        let known = self.endpoints.get(&endpoint.id);
+        let known = known.or_else(|| {
+            let removed = self.removed.get(&endpoint.id);
+            removed.map(|(removed, _)| removed)
+        });
+        known.is_some_and(|known| {
+            endpoint.start_unix_millis.is_some()
+                && known.start_unix_millis == endpoint.start_unix_millis
+                && (1..known.sequence).contains(&endpoint.sequence)
+        })
+    }
+
     /// Replaces all entries with the result of a full read; returns the endpoints that started
     pub fn replace(&mut self, now: Instant, endpoints: Vec<Endpoint>) -> Vec<EndpointId> {
         let is_restoring = self.restore_end.is_some();
@@ -224,8 +245,11 @@
         started
     }
 
-    /// Adds or updates one entry
+    /// Adds or updates one entry, unless the endpoint wrote a later one
     pub fn put(&mut self, now: Instant, endpoint: Endpoint) -> Change {
+        if self.is_superseded(&endpoint) {
+            return Change::Outdated;
+        }
         let id = endpoint.id.clone();
         self.lapsed_until.remove(&id);
         let warm_at = now + endpoint.warmup_remaining;
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -414,3 +414,87 @@
     catalog.put(now, run(3, Duration::from_secs(4)));
     assert!(catalog.is_cold(now, &"a".into()), "a run that warms up");
 }
+
+// A write that the store carries out late must not take back what the endpoint wrote after it.
+#[test]
+fn older_entry_of_the_same_run_takes_back_a_later_one() {
+    struct Case {
+        name: &'static str,
+        start: Option<u64>,
+        sequence: u64,
+        /// Whether the later entry, which was draining, was removed before
+        removed: bool,
+        change: Change,
+    }
+    let usual = Case {
+        name: "",
+        start: Some(1),
+        sequence: 3,
+        removed: false,
+        change: Change::Outdated,
+    };
+    let cases = [
+        Case {
+            name: "older entry",
+            ..usual
+        },
+        Case {
+            name: "older entry after the removal",
+            removed: true,
+            ..usual
+        },
+        Case {
+            name: "later entry",
+            sequence: 7,
+            change: Change::Updated,
+            ..usual
+        },
+        Case {
+            name: "later entry after the removal",
+            sequence: 7,
+            removed: true,
+            change: Change::Started,
+            ..usual
+        },
+        Case {
+            name: "the same entry once more after the removal, as after an outage",
+            sequence: 6,
+            removed: true,
+            change: Change::Started,
+            ..usual
+        },
+        Case {
+            name: "another run, whose counts start anew",
+            start: Some(2),
+            change: Change::Started,
+            ..usual
+        },
+        Case {
+            name: "entry without a number",
+            sequence: 0,
+            change: Change::Updated,
+            ..usual
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut catalog = Catalog::with_drain_time(DRAIN_TIME);
+        let later = Endpoint {
+            draining: true,
+            sequence: 6,
+            ..endpoint("i-1")
+        };
+        catalog.put(now, later.clone());
+        if case.removed {
+            catalog.remove(now, &later.id);
+        }
+        let entry = Endpoint {
+            start_unix_millis: case.start,
+            sequence: case.sequence,
+            ..endpoint("i-1")
+        };
+        assert_eq!(catalog.put(now, entry), case.change, "{}", case.name);
+        let is_usable = !usable_ids(&catalog).is_empty();
+        assert_eq!(is_usable, case.change != Change::Outdated, "{}", case.name);
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -175,8 +175,18 @@
     }
 
     /// Adds or updates one member
+    ///
+    /// The entry of a host that was removed lately may come from a write that the store carried out
+    /// late, so that host is offered to callers once it reports.
     pub fn put(&mut self, now: Instant, member: Member) {
-        self.unresponsive.remove(&member.host);
+        let removed = self.removed.get(&member.host);
+        let was_removed = removed.is_some_and(|(incarnation, removed_at)| {
+            *incarnation == member.incarnation && now < *removed_at + REMOVED_TTL
+        });
+        match was_removed && !self.members.contains_key(&member.host) {
+            true => self.unresponsive.insert(member.host.clone()),
+            false => self.unresponsive.remove(&member.host),
+        };
         self.record_listing(now, &member.host);
         self.members.insert(member.host.clone(), member);
     }
--- a/src/gateway/apply.rs
+++ b/src/gateway/apply.rs
@@ -157,6 +157,10 @@
         }
         crate::catalog::Change::Updated => gateway.recorder.event("endpoint-changed", &fields),
         crate::catalog::Change::Unchanged => {}
+        crate::catalog::Change::Outdated => {
+            gateway.metrics.count_outdated();
+            gateway.recorder.event("endpoint-entry-outdated", &fields);
+        }
     }
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -34,6 +34,7 @@
     new_eras: Counter<u64>,
     panics: Counter<u64>,
     unreadable: Counter<u64>,
+    outdated: Counter<u64>,
     stated_limits: Counter<u64>,
     permits: Counter<u64>,
     state_gauge: Gauge<u64>,
@@ -89,6 +90,10 @@
                 "pier_gate_unreadable_objects",
                 "Objects of the store that cannot be read, by kind; each once",
             ),
+            outdated: counter(
+                "pier_gate_outdated_entries",
+                "Entries of endpoints that came after later ones of the same run",
+            ),
             stated_limits: counter(
                 "pier_gate_stated_limits",
                 "Answers in which endpoints state a limit for all hosts, by whether it is a number",
@@ -152,6 +157,11 @@
             .add(1, &[KeyValue::new("kind", kind.name())]);
     }
 
+    /// Counts an endpoint's entry that came after a later one
+    pub fn count_outdated(&self) {
+        self.outdated.add(1, &[]);
+    }
+
     /// Counts an answer in which an endpoint states a limit
     pub fn count_stated_limit(&self, is_number: bool) {
         self.stated_limits
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -12,6 +12,7 @@
 mod play;
 pub mod process;
 pub mod proxy;
+pub mod raw;
 pub mod repeat;
 
 use std::collections::BTreeMap;
