Await the rest of an answer as long as its caller does

Cause: the idle limit, meant for bodies of callers without a deadline, applied to all bodies. Silence now ends a body only when its caller no longer waits; for a caller without a deadline, not before the timeout of the route.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -8,7 +8,7 @@
 //! | any | when the caller's deadline has passed, as nobody waits for it any more |
 //! | without a length | at the timeout of the route, if the caller states no deadline |
 //! | without a length | after [`MAX_UNSIZED_BYTES`] |
-//! | with a length, no deadline | when the endpoint sends nothing for [`IDLE_TIMEOUT`] |
+//! | with a length, no deadline | when the endpoint sends nothing for [`IDLE_TIMEOUT`], but not before the timeout of the route |
 //!
 //! What was passed on by then never looks complete to the caller. An endpoint counts as failed if
 //! its body had no length, since only then it could have gone on for ever.
@@ -48,6 +48,14 @@
         Some(deadline + DEADLINE_GRACE_PERIOD)
     }
 
+    /// Returns until when the next piece of a body is awaited
+    ///
+    /// Silence alone is no reason to break off a body for which a caller may still wait.
+    pub fn silence_deadline(&self, now: Instant, length: Length) -> Instant {
+        let silence_deadline = || self.route_deadline.max(now + IDLE_TIMEOUT);
+        self.deadline(length).unwrap_or_else(silence_deadline)
+    }
+
     /// Returns whether a body of this many bytes so far may be endless
     pub fn is_too_long(length: Length, bytes: u64) -> bool {
         !matches!(length, Length::Bytes(_)) && bytes > MAX_UNSIZED_BYTES
@@ -105,8 +113,7 @@
         if Limits::is_too_long(self.length, self.bytes_read) {
             return Err(self.break_off("body without a length is too long"));
         }
-        let idle_deadline = now + IDLE_TIMEOUT;
-        let wait_until = deadline.map_or(idle_deadline, |deadline| deadline.min(idle_deadline));
+        let wait_until = self.limits.silence_deadline(now, self.length);
         let piece = timeout(wait_until, self.connection.read_body_part(&mut self.length)).await;
         match piece.unwrap_or(Err(message::Error::Truncated)) {
             Ok(Some(piece)) => {
--- /dev/null
+++ b/tests/connections.rs
@@ -0,0 +1,93 @@
+//! Connections of callers at the edges of what they carry: an answer that pauses, and a request that
+//! arrives around the answer that closes its connection. Real `pier-gate` processes.
+
+mod site;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use smol::Timer;
+use tanagerpier::message::{Connection, Request, timeout};
+
+use site::raw::{self, RawEndpoint};
+use site::{HOST_NAME, Site};
+
+/// Length of an answer that is not buffered as a whole
+const LONG_BYTES: usize = 400_000;
+
+/// Part of it that comes before the pause
+const FIRST_BYTES: usize = 300_000;
+
+/// Pause in the middle of an answer
+const PAUSE: Duration = Duration::from_millis(1800);
+
+async fn connect(site: &Site) -> Connection {
+    let host = SocketAddr::new(site.gateways[0].ip, 8161);
+    let connection = Connection::connect(host, Duration::from_secs(1)).await;
+    connection.expect("the host accepts")
+}
+
+async fn answer_with_a_pause(request: Request, mut connection: Connection) -> Option<Connection> {
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let body = vec![b'x'; LONG_BYTES];
+    let head = raw::success_head(&request, LONG_BYTES);
+    connection.write(head.as_bytes(), deadline).await.ok()?;
+    connection
+        .write(&body[..FIRST_BYTES], deadline)
+        .await
+        .ok()?;
+    Timer::after(PAUSE).await;
+    connection
+        .write(&body[FIRST_BYTES..], deadline)
+        .await
+        .ok()?;
+    Some(connection)
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    name: &'static str,
+    /// Header line with the caller's deadline
+    deadline: &'static str,
+}
+
+async fn play_pause(case: Case) -> Vec<String> {
+    let site = Site::start(1, 1).await;
+    raw::remove_others(&site);
+    let endpoint = RawEndpoint::start(&site, "i-pausing", answer_with_a_pause).await;
+    endpoint.register(&site, "ready", 1);
+    Timer::after(Duration::from_millis(1000)).await;
+    let mut connection = connect(&site).await;
+    let request = format!(
+        "GET /safe/x HTTP/1.1\r\nHost: {HOST_NAME}\r\nAttempt-Id: pause\r\n{}\r\n",
+        case.deadline
+    );
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let written = connection.write(request.as_bytes(), deadline).await;
+    written.expect("the request is written");
+    let exchange = async {
+        let answer = connection.read_response("GET").await.ok()?;
+        let body = connection.read_body(answer.length, LONG_BYTES).await.ok()?;
+        Some((answer.status, body.len()))
+    };
+    match timeout(deadline, exchange).await.flatten() {
+        Some((200, LONG_BYTES)) => Vec::new(),
+        result => vec![format!("{}: {result:?}", case.name)],
+    }
+}
+
+// A pause of an endpoint within the time of its caller must not break off the answer.
+#[test]
+fn long_answer_is_broken_off_when_its_endpoint_pauses() {
+    let cases = [
+        Case {
+            name: "caller with a deadline after the pause",
+            deadline: "Request-Deadline: 4000\r\n",
+        },
+        Case {
+            name: "caller without a deadline",
+            deadline: "",
+        },
+    ];
+    site::play_all(cases.into_iter().map(play_pause));
+}
