Look at an endpoint's entry again before a request is sent

Cause: before the second sending the host asked for pauses, limits and statements in answers, but not for the entries. Now each sending needs an entry of the same run that is not draining, in a zone that is not evacuated.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -435,6 +435,16 @@
         }
     }
 
+    /// Returns whether the entries allow requests to this run of an endpoint now
+    pub fn accepts(&self, endpoint: &Endpoint) -> bool {
+        let listed = self.endpoints.get(&endpoint.id);
+        listed.is_some_and(|listed| {
+            listed.run() == endpoint.run()
+                && !listed.draining
+                && !self.evacuated_zones.contains(&listed.zone)
+        })
+    }
+
     /// Returns whether a later run is registered at the address of an endpoint, which has then ended
     pub fn has_successor(&self, endpoint: &Endpoint) -> bool {
         let Some(start) = endpoint.start_unix_millis else {
--- a/src/gateway/advice.rs
+++ b/src/gateway/advice.rs
@@ -100,6 +100,8 @@
 }
 
 /// Returns whether a request that was meant for an endpoint may still be sent to it
+///
+/// Seconds may have passed since the endpoint was chosen, if the request is sent once more.
 pub fn may_send(gateway: &Gateway, endpoint: &Endpoint, permit: Permit) -> bool {
     let now = Instant::now();
     let is_paused = gateway
@@ -107,7 +109,9 @@
         .borrow()
         .pause_remaining(now, &endpoint.id)
         .is_some();
+    let catalog = gateway.catalog.borrow();
     !is_paused
         && gateway.limits.allows(now, endpoint, permit)
-        && gateway.catalog.borrow().may_use_leaving(now, endpoint)
+        && catalog.accepts(endpoint)
+        && catalog.may_use_leaving(now, endpoint)
 }
