Reject framing headers that are no text

Cause: values that are no text were left out where they had to be rejected. Lengths, transfer codings and hosts that are no text are now malformed, in requests (400) and answers. Attempt ids and deadlines that are no text, come twice, and empty attempt ids get 400 and are not passed on.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -88,6 +88,7 @@
     if gateway.refusing.get() {
         return Err(Refusal::not_run("host is stopping", Duration::ZERO));
     }
+    header::check_request(&request.headers).map_err(|reason| Refusal::new(400, reason))?;
     let Some(configuration) = gateway.configuration() else {
         return Err(Refusal::not_run(
             "no configuration",
--- a/src/message/head.rs
+++ b/src/message/head.rs
@@ -54,7 +54,8 @@
         }
         let (method, target) = (method.into(), target.into());
         let headers = copy_headers(parsed.headers);
-        if version == 1 && headers.values("host").count() != 1 {
+        let hosts = headers.texts("Host")?.len();
+        if hosts > 1 || (version == 1 && hosts == 0) {
             return Err(Error::Malformed("not exactly one Host"));
         }
         Ok(Self {
--- a/src/message/length.rs
+++ b/src/message/length.rs
@@ -39,7 +39,7 @@
 
 fn content_length(headers: &Headers) -> Result<Option<u64>, Error> {
     let mut content_length = None;
-    for value in headers.values("content-length") {
+    for value in headers.texts("Content-Length")? {
         let is_number = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
         let length: u64 = value
             .parse()
@@ -55,12 +55,9 @@
 }
 
 fn is_chunked(headers: &Headers) -> Result<bool, Error> {
-    let mut values = headers.values("transfer-encoding");
-    let Some(value) = values.next() else {
-        return Ok(false);
-    };
-    if values.next().is_some() || !value.eq_ignore_ascii_case("chunked") {
-        return Err(Error::Malformed("Transfer-Encoding is not chunked"));
+    match headers.texts("Transfer-Encoding")?[..] {
+        [] => Ok(false),
+        [value] if value.eq_ignore_ascii_case("chunked") => Ok(true),
+        _ => Err(Error::Malformed("Transfer-Encoding is not chunked")),
     }
-    Ok(true)
 }
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -75,6 +75,16 @@
             .map(str::trim)
     }
 
+    /// Returns the values of a header that must be text; any other value is an error
+    pub fn texts(&self, name: &'static str) -> Result<Vec<&str>, Error> {
+        let lines = self.0.iter();
+        let lines = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        let texts = lines.map(|(_, value)| std::str::from_utf8(value).map(str::trim));
+        texts
+            .collect::<Result<_, _>>()
+            .map_err(|_| Error::Malformed(name))
+    }
+
     /// Returns whether a comma-separated header contains a token
     pub fn has_token(&self, name: &str, token: &str) -> bool {
         self.values(name)
--- a/src/message/tests/mod.rs
+++ b/src/message/tests/mod.rs
@@ -174,6 +174,63 @@
     }
 }
 
+// A body must not be taken for a request because a header that states its length is no text.
+#[test]
+fn request_is_smuggled_behind_a_length_that_is_no_text() {
+    struct Case {
+        head: &'static [u8],
+        valid: bool,
+    }
+    let cases = [
+        Case {
+            head: b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n",
+            valid: true,
+        },
+        Case {
+            head: b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\xff\r\n\r\n",
+            valid: false,
+        },
+        Case {
+            head: b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: \xff\r\nContent-Length: 4\r\n\r\n",
+            valid: false,
+        },
+        Case {
+            head: b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length:\r\n\r\n",
+            valid: false,
+        },
+        Case {
+            head: b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\xff\r\n\r\n",
+            valid: false,
+        },
+        Case {
+            head: b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: \xff\r\nTransfer-Encoding: chunked\r\n\r\n",
+            valid: false,
+        },
+        Case {
+            head: b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:\r\n\r\n",
+            valid: false,
+        },
+        Case {
+            head: b"GET / HTTP/1.1\r\nHost: \xff\r\nHost: h\r\n\r\n",
+            valid: false,
+        },
+        Case {
+            head: b"GET / HTTP/1.0\r\nHost: \xff\r\n\r\n",
+            valid: false,
+        },
+    ];
+    for case in cases {
+        let parsed = Request::parse(case.head);
+        let text = String::from_utf8_lossy(case.head);
+        assert_eq!(parsed.is_ok(), case.valid, "{text}");
+        let response = text.replace("POST / HTTP/1.1", "HTTP/1.1 200 OK");
+        if response != text && !case.valid {
+            let bytes = [b"HTTP/1.1 200 OK".as_slice(), &case.head[15..]].concat();
+            assert!(Response::parse(&bytes, "GET").is_err(), "{response}");
+        }
+    }
+}
+
 #[test]
 fn hop_by_hop_headers_are_removed() {
     let mut headers = Headers::new();
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -75,6 +75,19 @@
     }
 }
 
+/// Checks the headers that identify a request and limit its time; the error is the text of a refusal
+pub fn check_request(headers: &Headers) -> Result<(), &'static str> {
+    let attempt_ids = headers.texts(ATTEMPT_ID);
+    if !attempt_ids.is_ok_and(|ids| matches!(ids[..], [] | [_]) && !ids.contains(&"")) {
+        return Err("invalid Attempt-Id");
+    }
+    let deadlines = headers.texts(REQUEST_DEADLINE);
+    match deadlines.is_ok_and(|deadlines| deadlines.len() <= 1) {
+        true => Ok(()),
+        false => Err("invalid Request-Deadline"),
+    }
+}
+
 /// Returns how long the caller waits for a response
 pub fn request_timeout(headers: &Headers) -> Option<Duration> {
     let millis = headers.get(REQUEST_DEADLINE)?.parse().ok()?;
