Do not pass on a request that the closing answer crosses

Cause: the connection looked whether it is closing before it read the head, not after. It looks again once the head is complete; nothing waits between that and the count by which an answer decides whether it may close.

--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -211,6 +211,11 @@
             Some(Err(_)) => return ConnectionState::Closed,
             None => return self.reject(408, "head took too long").await,
         };
+        if self.pipeline.closing.get() {
+            // The caller sends it again, as an answer closed the connection before it was read.
+            self.drain_input().await;
+            return ConnectionState::Closed;
+        }
         self.pipeline
             .requests_read
             .set(self.pipeline.requests_read.get() + 1);
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -91,3 +91,57 @@
     ];
     site::play_all(cases.into_iter().map(play_pause));
 }
+
+/// Time that the first request takes
+const WORK: Duration = Duration::from_millis(800);
+
+/// Sends a request and the first part of another one, whose rest follows the closing answer
+async fn play_split(split: usize) -> Vec<String> {
+    let mut site = Site::start(1, 1).await;
+    raw::remove_others(&site);
+    let answer = |request, connection| async move {
+        Timer::after(WORK).await;
+        raw::succeed(request, connection).await
+    };
+    let endpoint = RawEndpoint::start(&site, "i-slow", answer).await;
+    endpoint.register(&site, "ready", 1);
+    Timer::after(Duration::from_millis(1000)).await;
+    let mut connection = connect(&site).await;
+    let head = |id: &str| {
+        format!(
+            "GET /safe/x HTTP/1.1\r\nHost: {HOST_NAME}\r\nAttempt-Id: {id}\r\n\
+             Request-Deadline: 2000\r\n\r\n"
+        )
+    };
+    let second = head("second");
+    let (start, rest) = second.split_at(split);
+    let deadline = Instant::now() + Duration::from_secs(3);
+    let sent = format!("{}{start}", head("first"));
+    let written = connection.write(sent.as_bytes(), deadline).await;
+    written.expect("the first part is written");
+    Timer::after(Duration::from_millis(200)).await;
+    let process = site.gateways[0].process.as_mut().expect("it runs");
+    process.signal("TERM");
+    let answer = timeout(deadline, connection.read_response("GET")).await;
+    let mut broken = Vec::new();
+    match answer {
+        Some(Ok(answer)) if answer.status == 200 && !answer.keep_alive => {}
+        answer => broken.push(format!("split at {split}: the first gets {answer:?}")),
+    }
+    // The host may have closed the connection.
+    let _ = connection.write(rest.as_bytes(), deadline).await;
+    Timer::after(Duration::from_millis(300)).await;
+    let arrivals = endpoint.arrivals("second");
+    if arrivals > 0 {
+        broken.push(format!(
+            "split at {split}: {arrivals} arrivals without an answer"
+        ));
+    }
+    broken
+}
+
+// A request that the closing answer crosses must not be passed on, as it cannot be answered.
+#[test]
+fn request_behind_the_closing_answer_is_passed_on() {
+    site::play_all([1, 20, 60, 89].into_iter().map(play_split));
+}
