--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -36,6 +36,9 @@
 /// Delay after a failure at a reader
 const READER_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Interval at which a paused task checks whether the store serves this host
+const CONTACT_CHECK_INTERVAL: Duration = Duration::from_millis(25);
+
 /// How long a starting host waits for the list of hosts before it reads the other kinds
 const HOSTS_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -261,11 +264,13 @@
                 progress.pinned = None;
                 progress.failures += 1;
                 record_source_failure(&gateway, kind, source, &mut progress, &error);
+                let may_prefer_store = !source.is_store && progress.is_reader_lost;
                 if progress.failures >= sources.len() {
                     mark_store_lost(&gateway, kind, &error);
-                    Timer::after(backoff.record_failure(fastrand::f64())).await;
+                    let delay = backoff.record_failure(fastrand::f64());
+                    pause(&gateway, delay, may_prefer_store).await;
                 } else if !source.is_store && gateway.mirror.borrow().was_read(kind) {
-                    Timer::after(READER_RETRY_DELAY).await;
+                    pause(&gateway, READER_RETRY_DELAY, may_prefer_store).await;
                 }
             }
             Step::SourceReplaced => {
@@ -305,6 +310,18 @@
     }
 }
 
+/// Waits after a failed call; a host whose readers cannot read the store goes on as soon as the store
+/// serves it
+async fn pause(gateway: &Gateway, delay: Duration, may_prefer_store: bool) {
+    let end = Instant::now() + delay;
+    while Instant::now() < end {
+        Timer::at(end.min(Instant::now() + CONTACT_CHECK_INTERVAL)).await;
+        if may_prefer_store && gateway.contact.get().is_served(Instant::now()) {
+            return;
+        }
+    }
+}
+
 /// Counts a read under way at the store while it exists
 struct StoreRead<'a>(&'a Gateway);
 
