Forbid unchecked sums and indexing where outside numbers are decoded

clippy denies arithmetic with side effects, slices by index, unchecked subtractions of times and unwraps in the modules that decode headers, heads, lengths, objects, pages, settings, copies and datagrams.

--- a/src/bound.rs
+++ b/src/bound.rs
@@ -3,6 +3,13 @@
 //! Such a number is brought into its range where it is decoded. Behind that place, a sum of a few of
 //! them, or with the present time, cannot overflow.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::indexing_slicing,
+    clippy::unchecked_time_subtraction,
+    clippy::unwrap_used
+)]
+
 use std::time::Duration;
 
 /// Longest time that another program may state; a longer one counts as this one
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -1,5 +1,12 @@
 //! Content of the reports between entry hosts, and its encoding.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::indexing_slicing,
+    clippy::unchecked_time_subtraction,
+    clippy::unwrap_used
+)]
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/src/message/head.rs
+++ b/src/message/head.rs
@@ -1,5 +1,12 @@
 //! Heads of requests and responses.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::indexing_slicing,
+    clippy::unchecked_time_subtraction,
+    clippy::unwrap_used
+)]
+
 use compact_str::CompactString;
 
 use super::{Error, Headers, Length, MAX_HEADER_LINES};
--- a/src/message/length.rs
+++ b/src/message/length.rs
@@ -1,5 +1,12 @@
 //! Message body length according to the framing headers.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::indexing_slicing,
+    clippy::unchecked_time_subtraction,
+    clippy::unwrap_used
+)]
+
 use super::{Error, Headers};
 
 /// How the length of a body is determined
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -1,5 +1,12 @@
 //! Requests to the directory and readiness ports of an entry host, and directory responses.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::indexing_slicing,
+    clippy::unchecked_time_subtraction,
+    clippy::unwrap_used
+)]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -1,5 +1,12 @@
 //! Headers exchanged between callers, entry hosts and upstream endpoints.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::indexing_slicing,
+    clippy::unchecked_time_subtraction,
+    clippy::unwrap_used
+)]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/src/platform/node.rs
+++ b/src/platform/node.rs
@@ -1,5 +1,12 @@
 //! Settings file that the platform writes for each process.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::indexing_slicing,
+    clippy::unchecked_time_subtraction,
+    clippy::unwrap_used
+)]
+
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
--- a/src/platform/page.rs
+++ b/src/platform/page.rs
@@ -4,6 +4,13 @@
 //! read neither hides the others nor stops the changes after it. Its content counts as null, which no
 //! kind accepts; its name still counts, as some kinds mean something by the name alone.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::indexing_slicing,
+    clippy::unchecked_time_subtraction,
+    clippy::unwrap_used
+)]
+
 use std::borrow::Cow;
 
 use compact_str::CompactString;
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -3,6 +3,13 @@
 //! Other programs write to the store too. An object with missing or mistyped fields is rejected as
 //! a whole; the other objects stay in use.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::indexing_slicing,
+    clippy::unchecked_time_subtraction,
+    clippy::unwrap_used
+)]
+
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime};
@@ -104,7 +111,7 @@
 
 /// Returns the version of the operator's configuration; `None` if the object has none
 pub fn configuration_version(object: &Object) -> Option<u64> {
-    object.spec["version"].as_u64()
+    object.spec.get("version")?.as_u64()
 }
 
 /// Decodes the operator's configuration; the error states why it is invalid
@@ -276,10 +283,10 @@
     object: &Object,
     now: SystemTime,
 ) -> Option<(quarantine::Key, quarantine::Record)> {
-    let runs = object.spec["crashed"].as_array()?;
+    let runs = object.spec.get("crashed")?.as_array()?;
     let parse_run = |run: &Value| u64::from_str_radix(run.as_str()?, 16).ok();
     let crashed: Option<BTreeSet<quarantine::EndpointRun>> = runs.iter().map(parse_run).collect();
-    let last_crash = object.spec["last_crash_unix_ms"].as_u64()?;
+    let last_crash = object.spec.get("last_crash_unix_ms")?.as_u64()?;
     let record = quarantine::Record {
         crashed: crashed?,
         cleared: BTreeSet::new(),
--- a/src/platform/replication.rs
+++ b/src/platform/replication.rs
@@ -1,6 +1,13 @@
 //! Lists and changes of objects that hosts of this system request from each other, in the format of
 //! the store.
 
+#![deny(
+    clippy::arithmetic_side_effects,
+    clippy::indexing_slicing,
+    clippy::unchecked_time_subtraction,
+    clippy::unwrap_used
+)]
+
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -37,8 +44,11 @@
 
     /// Adds the age to a response
     fn add_to(self, mut response: Value) -> Value {
-        response["age_ms"] = json!(self.age.as_millis() as u64);
-        response["hops"] = json!(self.hops);
+        if let Some(fields) = response.as_object_mut() {
+            let age_millis = self.age.as_millis() as u64;
+            fields.insert("age_ms".to_owned(), age_millis.into());
+            fields.insert("hops".to_owned(), self.hops.into());
+        }
         response
     }
 }
