Keep what is known of an endpoint whose entry was missing for a moment

After an entry had lapsed or been overwritten for one heartbeat, its endpoint counted as started anew: the host forgot that it had said it leaves, or that it wanted no requests for a while, and sent to it again (read in the review, not played).

Marks of endpoints that leave outlast their entries as long as the removal is remembered.

catalog::tests::endpoint_that_leaves_is_used_again_after_its_entry_was_missing covers it.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -66,6 +66,10 @@
         stable_hash(&(&self.id, self.start_unix_millis))
     }
 
+    fn is_same_run(&self, other: &Self) -> bool {
+        self.start_unix_millis == other.start_unix_millis && self.address == other.address
+    }
+
     fn is_same_entry(&self, other: &Self) -> bool {
         let sequence = self.sequence;
         *self
@@ -81,7 +85,7 @@
 pub enum Change {
     /// The endpoint is new, or restarted under its id
     Started,
-    /// The endpoint has other values
+    /// The endpoint has other values, or its entry is back after it was removed
     Updated,
     /// The entry is the same as before
     Unchanged,
@@ -216,6 +220,14 @@
         })
     }
 
+    /// Returns whether the entry of this run was removed lately
+    fn was_removed(&self, endpoint: &Endpoint) -> bool {
+        let removed = self.removed.get(&endpoint.id);
+        removed.is_some_and(|(removed, _)| {
+            removed.start_unix_millis.is_some() && removed.is_same_run(endpoint)
+        })
+    }
+
     /// Replaces all entries with the result of a full read; returns the endpoints that started
     pub fn replace(&mut self, now: Instant, endpoints: Vec<Endpoint>) -> Vec<EndpointId> {
         let is_restoring = self.restore_end.is_some();
@@ -256,12 +268,9 @@
         let known = self.endpoints.get(&id);
         let change = match known {
             Some(known) if known.is_same_entry(&endpoint) => Change::Unchanged,
-            Some(known)
-                if known.start_unix_millis == endpoint.start_unix_millis
-                    && known.address == endpoint.address =>
-            {
-                Change::Updated
-            }
+            Some(known) if known.is_same_run(&endpoint) => Change::Updated,
+            // What is known of the run holds on, for example that it wants no requests.
+            None if self.was_removed(&endpoint) => Change::Updated,
             _ => Change::Started,
         };
         if change == Change::Started {
@@ -379,7 +388,7 @@
 
     /// Marks an endpoint whose answer states that it leaves; returns whether that was not known
     ///
-    /// The mark binds this run only and is dropped with its entry.
+    /// The mark binds this run only. It outlasts the entry, which may be back a moment later.
     pub fn mark_leaving(&mut self, now: Instant, endpoint: &Endpoint) -> bool {
         let is_listed = self
             .endpoints
@@ -401,7 +410,8 @@
 
     /// Returns the number of endpoints whose answers state that they leave
     pub fn leaving_count(&self) -> usize {
-        self.leaving.len()
+        let listed = self.leaving.keys();
+        listed.filter(|id| self.endpoints.contains_key(*id)).count()
     }
 
     /// Returns the endpoints of a service that accept new requests
@@ -474,7 +484,6 @@
     fn remove_endpoint(&mut self, now: Instant, id: &EndpointId) {
         self.lapsed_until.remove(id);
         self.cold_until.remove(id);
-        self.leaving.remove(id);
         let Some(removed) = self.endpoints.remove(id) else {
             return;
         };
@@ -484,5 +493,7 @@
         self.removed
             .retain(|_, (_, removed_at)| now < *removed_at + REMOVED_TTL);
         self.removed.insert(id.clone(), (removed, now));
+        self.leaving
+            .retain(|id, _| self.endpoints.contains_key(id) || self.removed.contains_key(id));
     }
 }
--- a/src/catalog/tests.rs
+++ b/src/catalog/tests.rs
@@ -453,14 +453,14 @@
             name: "later entry after the removal",
             sequence: 7,
             removed: true,
-            change: Change::Started,
+            change: Change::Updated,
             ..usual
         },
         Case {
             name: "the same entry once more after the removal, as after an outage",
             sequence: 6,
             removed: true,
-            change: Change::Started,
+            change: Change::Updated,
             ..usual
         },
         Case {
@@ -498,3 +498,47 @@
         assert_eq!(is_usable, case.change != Change::Outdated, "{}", case.name);
     }
 }
+
+// An entry that is missing for one heartbeat must not make a host forget that its endpoint leaves.
+#[test]
+fn endpoint_that_leaves_is_used_again_after_its_entry_was_missing() {
+    struct Case {
+        name: &'static str,
+        start: Option<u64>,
+        change: Change,
+        is_leaving: bool,
+    }
+    let cases = [
+        Case {
+            name: "the same run",
+            start: Some(1),
+            change: Change::Updated,
+            is_leaving: true,
+        },
+        Case {
+            name: "another run",
+            start: Some(2),
+            change: Change::Started,
+            is_leaving: false,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut catalog = Catalog::with_drain_time(DRAIN_TIME);
+        let entry = endpoint("i-1");
+        catalog.put(now, entry.clone());
+        catalog.put(now, endpoint("i-2"));
+        assert!(catalog.mark_leaving(now, &entry), "{}", case.name);
+        catalog.remove(now, &entry.id);
+        let later = Endpoint {
+            start_unix_millis: case.start,
+            sequence: 2,
+            ..entry
+        };
+        let change = catalog.put(now, later.clone());
+        assert_eq!(change, case.change, "{}", case.name);
+        assert_eq!(catalog.is_leaving(&later), case.is_leaving, "{}", case.name);
+        let is_usable = usable_ids(&catalog).contains(&"i-1");
+        assert_eq!(is_usable, !case.is_leaving, "{}", case.name);
+    }
+}
