--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -69,7 +69,7 @@
     let guard = CountGuard::new(gateway, |gateway| &gateway.open_connections);
     let served = async move {
         let _guard = guard;
-        let served = serve_connection(&handler, stream);
+        let served = Box::pin(serve_connection(&handler, stream));
         supervise::contain(&handler, "connection", served).await;
     };
     gateway.spawn(served).detach();
@@ -425,7 +425,7 @@
     arrived: Instant,
 ) -> Option<Reply> {
     let id = header::attempt_id(&request.headers).unwrap_or("-");
-    let forwarded = forward(gateway, request, upload, arrived);
+    let forwarded = Box::pin(forward(gateway, request, upload, arrived));
     supervise::contain_request(gateway, id, forwarded).await
 }
 
@@ -452,7 +452,7 @@
     let attempt_id = header::attempt_id(&request.headers);
     let written = match reply {
         Some(reply) => {
-            let written = reply::write(&mut writer, reply, attempt_id, close);
+            let written = Box::pin(reply::write(&mut writer, reply, attempt_id, close));
             let written = supervise::contain_request(gateway, attempt_id.unwrap_or("-"), written);
             written.await
         }
--- a/src/gateway/supervise.rs
+++ b/src/gateway/supervise.rs
@@ -13,6 +13,7 @@
 
 use std::future::Future;
 use std::panic::AssertUnwindSafe;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -34,7 +35,7 @@
 pub async fn contain<T>(
     gateway: &Gateway,
     task: &'static str,
-    future: impl Future<Output = T>,
+    future: Pin<Box<impl Future<Output = T>>>,
 ) -> Option<T> {
     contain_task(gateway, task, "-", future).await
 }
@@ -43,16 +44,17 @@
 pub async fn contain_request<T>(
     gateway: &Gateway,
     attempt_id: &str,
-    future: impl Future<Output = T>,
+    future: Pin<Box<impl Future<Output = T>>>,
 ) -> Option<T> {
     contain_task(gateway, "request", attempt_id, future).await
 }
 
+/// The future is boxed, as each function that it passes through would keep room for it otherwise
 async fn contain_task<T>(
     gateway: &Gateway,
     task: &'static str,
     attempt_id: &str,
-    future: impl Future<Output = T>,
+    future: Pin<Box<impl Future<Output = T>>>,
 ) -> Option<T> {
     // What a panic interrupts is dropped or kept by value, so no half-made change is seen.
     let result = AssertUnwindSafe(future).catch_unwind().await;
@@ -83,7 +85,10 @@
         let mut backoff = Backoff::new(RESTART_DELAY_RANGE.0, RESTART_DELAY_RANGE.1);
         loop {
             let started_at = Instant::now();
-            if contain(&supervisor, task, start()).await.is_some() {
+            if contain(&supervisor, task, Box::pin(start()))
+                .await
+                .is_some()
+            {
                 return;
             }
             if started_at.elapsed() > RECOVERY_TIME {
