pier-entry: do not take a late answer without an id for the request's own

A second copy of an upstream's earlier answer, late and without `Pier-Request`, was taken for the answer to the next request on the connection; a refusal then said that a request had not run that was running (UNPROVED, found by reading).

An upstream that stated an id on a connection now has to go on stating them there. Upstreams that state none are served as before. Times and loads that upstreams state are bounded.

upstream::tests::late_copy_of_a_refusal_... failed before ("Shed", not "Invalid"). Heads cut at six places were added to the table of responses; none passed as complete before or after.

--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -4,6 +4,9 @@
 //! further bytes. Dropping the future or the [`Body`] closes the connection, which cancels the
 //! request at the upstream. A response must have a length or be chunked: if the end of the
 //! connection ended the body, a truncated response would pass as complete.
+//!
+//! A response that states the id of another request is not accepted; nor is one without an id, if an
+//! earlier response on the connection stated one: it may be a late copy of that.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,6 +20,7 @@
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
+use crate::bound;
 use crate::http;
 use crate::slot::Load;
 use crate::wire::{Header, Request, ResponseHead};
@@ -100,6 +104,8 @@
     address: SocketAddr,
     deadline: Instant,
     client: Client,
+    /// Whether the response stated the id of its request
+    states_ids: bool,
     is_complete: bool,
 }
 
@@ -122,25 +128,18 @@
         } else {
             MAX_IDLE_UNSAFE
         };
-        let idle_stream = self.lock().take(Instant::now(), address, max_idle);
-        let Some(stream) = idle_stream else {
+        let idle = self.lock().take(Instant::now(), address, max_idle);
+        let Some(idle) = idle else {
             let stream = connect(address, deadline).await?;
-            return self
-                .exchange(address, Connection::new(stream), request, deadline)
-                .await;
+            return self.exchange(address, new(stream), request, deadline).await;
         };
-        let connection = Connection::new(stream);
-        let result = self
-            .exchange(address, connection.clone(), request, deadline)
-            .await;
+        let result = self.exchange(address, idle, request, deadline).await;
         // An upstream may close an idle connection while a request is being sent on it.
         if is_safe && matches!(result, Err(Error::Closed(_))) {
             let Ok(stream) = connect(address, deadline).await else {
                 return result;
             };
-            return self
-                .exchange(address, Connection::new(stream), request, deadline)
-                .await;
+            return self.exchange(address, new(stream), request, deadline).await;
         }
         result
     }
@@ -148,10 +147,11 @@
     async fn exchange(
         &self,
         address: SocketAddr,
-        connection: Connection,
+        idle: idle::Connection,
         request: &Request,
         deadline: Instant,
     ) -> Result<Reply, Error> {
+        let connection = Connection::new(idle.stream);
         let invalid =
             |error: &dyn std::fmt::Display| Error::InvalidResponse(address, error.to_string());
         let http_request = build_request(address, request, deadline)?;
@@ -163,12 +163,13 @@
             false => Error::Closed(address),
         })?;
         let own_id = format!("{:016x}", request.id);
-        if response
-            .header("pier-request")
-            .is_some_and(|values| values.last().as_str() != own_id)
-        {
-            return Err(invalid(&"response to another request"));
+        let stated_id = response.header("pier-request");
+        match stated_id.map(|values| values.last().as_str()) {
+            Some(id) if id != own_id => return Err(invalid(&"response to another request")),
+            None if idle.states_ids => return Err(invalid(&"response without an id")),
+            _ => {}
         }
+        let states_ids = stated_id.is_some();
         let length = body_length(&request.method, &response).map_err(|text| invalid(&text))?;
         connection.set_body_length(length);
         let status: u16 = response.status().into();
@@ -194,6 +195,7 @@
             address,
             deadline,
             client,
+            states_ids,
             is_complete: false,
         };
         if length == Some(0) {
@@ -203,7 +205,7 @@
             body.discard().await;
             return Err(match is_leaving {
                 true => Error::Leaving(address),
-                false => Error::Shed(address, retry_after.map(Duration::from_secs)),
+                false => Error::Shed(address, retry_after.map(bounded_seconds)),
             });
         }
         Ok(Reply {
@@ -248,7 +250,9 @@
     fn finish(&mut self) {
         self.is_complete = true;
         if let Some(stream) = self.connection.reusable_stream() {
-            self.client.lock().put(Instant::now(), self.address, stream);
+            let states_ids = self.states_ids;
+            let idle = idle::Connection { stream, states_ids };
+            self.client.lock().put(Instant::now(), self.address, idle);
         }
     }
 
@@ -263,6 +267,13 @@
     }
 }
 
+fn new(stream: TcpStream) -> idle::Connection {
+    idle::Connection {
+        stream,
+        states_ids: false,
+    }
+}
+
 async fn connect(address: SocketAddr, deadline: Instant) -> Result<TcpStream, Error> {
     let not_sent = |message: String| Error::NotSent(address, message);
     let stream = with_deadline(deadline, http::connect(address)).await;
@@ -354,11 +365,15 @@
     headers
 }
 
+fn bounded_seconds(seconds: u64) -> Duration {
+    bound::duration(Duration::from_secs(seconds))
+}
+
 /// Parses a `load` header of the form `running/slots`
 fn parse_load(value: &str) -> Option<Load> {
     let (running, slots) = value.split_once('/')?;
     Some(Load {
-        running: running.trim().parse().ok()?,
-        slots: slots.trim().parse().ok()?,
+        running: bound::count(running.trim().parse().ok()?),
+        slots: bound::count(slots.trim().parse().ok()?),
     })
 }
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -69,6 +69,13 @@
         case("shed", b"HTTP/1.1 503 Busy\r\npier-shed: 1\r\ncontent-length: 2\r\n\r\nno", false, Outcome::Shed, true),
         case("leaving", b"HTTP/1.1 503 Busy\r\npier-leaving: 1\r\ncontent-length: 0\r\n\r\n", false, Outcome::Leaving, true),
         case("plain 503", b"HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\nno", false, Outcome::Complete(503, b"no".to_vec()), true),
+        case("head cut in the status line", b"HTTP/1.1 20", true, Outcome::Invalid, false),
+        case("head cut after the status line", b"HTTP/1.1 200 OK\r\n", true, Outcome::Invalid, false),
+        case("head cut in a name", b"HTTP/1.1 200 OK\r\ncontent-len", true, Outcome::Invalid, false),
+        case("head cut in the length", b"HTTP/1.1 200 OK\r\ncontent-length: 1", true, Outcome::Invalid, false),
+        case("head cut before its empty line", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n", true, Outcome::Invalid, false),
+        case("head cut in its empty line", b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r", true, Outcome::Invalid, false),
+        case("refusal with the largest time", b"HTTP/1.1 503 Busy\r\npier-shed: 1\r\nretry-after: 18446744073709551615\r\ncontent-length: 2\r\n\r\nno", false, Outcome::Shed, true),
         Case { name: "HEAD", method: "HEAD", response: b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n", closes: false, expected: complete(b""), is_reused: true },
         Case { name: "POST", method: "POST", response: COMPLETE_RESPONSE, closes: false, expected: complete(b"ok"), is_reused: true },
     ]
@@ -270,3 +277,74 @@
         reason: Reason::Share,
     }
 }
+
+/// Serves a first request, and a late copy of an answer to the second one
+async fn serve_copy(mut stream: TcpStream, first: &[u8], second: &[u8]) {
+    for answer in [first, second] {
+        if !read_request(&mut stream).await || stream.write_all(answer).await.is_err() {
+            return;
+        }
+    }
+    Timer::after(REQUEST_TIMEOUT * 2).await;
+}
+
+// A copy of an earlier answer on a kept connection must not be taken for the answer to the next request.
+#[test]
+fn late_copy_of_a_refusal_says_that_a_running_request_did_not_run() {
+    struct Case {
+        name: &'static str,
+        first: &'static [u8],
+        second: &'static [u8],
+        expected: Outcome,
+    }
+    let own_id =
+        b"HTTP/1.1 200 OK\r\npier-request: 0000000000001234\r\ncontent-length: 2\r\n\r\nok";
+    let cases = [
+        Case {
+            name: "refusal without an id after answers with ids",
+            first: own_id,
+            second: b"HTTP/1.1 503 Busy\r\npier-shed: 1\r\ncontent-length: 2\r\n\r\nno",
+            expected: Outcome::Invalid,
+        },
+        Case {
+            name: "refusal of another request",
+            first: own_id,
+            second: b"HTTP/1.1 503 Busy\r\npier-shed: 1\r\npier-request: 0000000000009999\r\ncontent-length: 2\r\n\r\nno",
+            expected: Outcome::Invalid,
+        },
+        Case {
+            name: "answer without an id after answers with ids",
+            first: own_id,
+            second: COMPLETE_RESPONSE,
+            expected: Outcome::Invalid,
+        },
+        Case {
+            name: "own refusal",
+            first: own_id,
+            second: b"HTTP/1.1 503 Busy\r\npier-shed: 1\r\npier-request: 0000000000001234\r\ncontent-length: 2\r\n\r\nno",
+            expected: Outcome::Shed,
+        },
+        Case {
+            name: "upstream that states no ids",
+            first: COMPLETE_RESPONSE,
+            second: COMPLETE_RESPONSE,
+            expected: complete(b"ok"),
+        },
+    ];
+    for case in cases {
+        smol::block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let server = smol::spawn(async move {
+                let (stream, _) = listener.accept().await.unwrap();
+                serve_copy(stream, case.first, case.second).await;
+            });
+            let client = Client::new();
+            let first = send(&client, address, "POST").await;
+            assert_eq!(first, complete(b"ok"), "{}", case.name);
+            let second = send(&client, address, "POST").await;
+            assert_eq!(second, case.expected, "{}", case.name);
+            server.cancel().await;
+        });
+    }
+}
