--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -13,6 +13,7 @@
 use crate::policy::Execution;
 
 mod bounds;
+mod cost;
 mod generated;
 mod random;
 mod response_time;
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -3,12 +3,12 @@
 
 mod site;
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use smol::Timer;
 
-use site::{Site, get, get_status};
+use site::Site;
+use site::status::is_in_force;
 
 /// Time in which a change is in force at a host in touch
 const APPLY_TIME: Duration = Duration::from_millis(2000);
@@ -16,9 +16,6 @@
 /// Time for which an odd object is there before the changes
 const NOTICE_TIME: Duration = Duration::from_millis(500);
 
-/// Port of the metrics and the status
-const STATUS_PORT: u16 = 9464;
-
 struct Case {
     kind: &'static str,
     /// What is odd about the object
@@ -110,22 +107,6 @@
     cases
 }
 
-/// Returns whether a host serves a route and sees an endpoint as draining or not
-async fn is_in_force(site: &Site, host: usize, target: &str, endpoint: &str, drains: bool) -> bool {
-    let ip = site.gateways[host].ip;
-    let id = format!("{host}{}", target.replace('/', "-"));
-    if get_status(SocketAddr::new(ip, 8161), target, &id).await != Some(200) {
-        return false;
-    }
-    let Some((_, status)) = get(SocketAddr::new(ip, STATUS_PORT), "/status").await else {
-        return false;
-    };
-    let status: serde_json::Value = serde_json::from_slice(&status).unwrap_or_default();
-    let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
-    let mut endpoints = endpoints.iter();
-    endpoints.any(|entry| entry["endpoint"] == endpoint && entry["draining"] == drains)
-}
-
 /// Changes the routes and the state of an endpoint beside an odd object
 async fn play(site: &mut Site, case: &Case, index: usize) -> Vec<String> {
     site.store.write_raw(case.kind, "odd", &case.content);
--- a/tests/silent_connections.rs
+++ b/tests/silent_connections.rs
@@ -3,13 +3,13 @@
 
 mod site;
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use smol::Timer;
 
+use site::Site;
 use site::load::Load;
-use site::{Site, get, get_status};
+use site::status::is_in_force;
 
 /// Half of the time in which a change must be in force
 const APPLY_TIME: Duration = Duration::from_millis(1000);
@@ -17,9 +17,6 @@
 /// Time after which a host whose connections went silent counts as in touch
 const STABLE_TIME: Duration = Duration::from_millis(3000);
 
-/// Port of the metrics and the status
-const STATUS_PORT: u16 = 9464;
-
 /// Part of the requests of the load that must be served; those on connections that go silent wait for
 /// their deadline if they may run once only
 const MIN_SERVED_RATIO: f64 = 0.9;
@@ -86,22 +83,6 @@
     }
 }
 
-/// Returns whether a host serves a route and sees an endpoint as draining
-async fn is_in_force(site: &Site, host: usize, target: &str, endpoint: &str) -> bool {
-    let ip = site.gateways[host].ip;
-    let id = format!("check-{host}");
-    if get_status(SocketAddr::new(ip, 8161), target, &id).await != Some(200) {
-        return false;
-    }
-    let Some((_, status)) = get(SocketAddr::new(ip, STATUS_PORT), "/status").await else {
-        return false;
-    };
-    let status: serde_json::Value = serde_json::from_slice(&status).unwrap_or_default();
-    let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
-    let mut endpoints = endpoints.iter();
-    endpoints.any(|entry| entry["endpoint"] == endpoint && entry["draining"] == true)
-}
-
 async fn play(case: Case) -> Vec<String> {
     let mut site = Site::start(2, 3).await;
     Timer::after(STABLE_TIME).await;
@@ -122,7 +103,7 @@
     let endpoint = site.servers[0].endpoint.id().to_owned();
     let changed_at = Instant::now();
     for host in 0..site.gateways.len() {
-        while !is_in_force(&site, host, "/added/x", &endpoint).await {
+        while !is_in_force(&site, host, "/added/x", &endpoint, true).await {
             if changed_at.elapsed() > APPLY_TIME * 4 {
                 break;
             }
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -14,6 +14,7 @@
 pub mod proxy;
 pub mod raw;
 pub mod repeat;
+pub mod status;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
