Log and count on which connection an endpoint's refusal was believed

A request's line now lists the status of each answer that was taken for a refusal and whether the connection was new or kept; pier_gate_refused_attempts counts the same. No decision is changed.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -49,9 +49,9 @@
     /// endpoint takes no requests now
     Withheld,
     /// endpoint is full
-    Shed,
+    Shed(Refused),
     /// another endpoint has the address
-    Misdirected,
+    Misdirected(Refused),
     /// connection broke: {0}
     Broken(String),
     /// endpoint ended: {0}
@@ -69,9 +69,44 @@
     pub fn is_not_run(&self) -> bool {
         matches!(
             self,
-            Self::NotSent(_) | Self::Withheld | Self::Shed | Self::Misdirected
+            Self::NotSent(_) | Self::Withheld | Self::Shed(_) | Self::Misdirected(_)
         )
     }
+
+    /// Returns the endpoint's answer that states that it did not run the request
+    pub fn refused(&self) -> Option<Refused> {
+        match self {
+            Self::Shed(refused) | Self::Misdirected(refused) => Some(*refused),
+            _ => None,
+        }
+    }
+}
+
+/// Answer that states that the endpoint did not run the request
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Status of the answer
+    pub status: u16,
+    /// Whether it came on a connection that had been used before
+    pub is_reused: bool,
+}
+
+impl std::fmt::Display for Refused {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let connection = if self.is_reused { "kept" } else { "new" };
+        write!(formatter, "{} {connection}", self.status)
+    }
+}
+
+/// Head of an answer, and the connection with the rest of it
+#[derive(Debug)]
+struct Received {
+    connection: Connection,
+    head: Response,
+    /// Whether the request was sent to its end before the head came
+    uploaded: bool,
+    /// Whether the connection had been used before
+    is_reused: bool,
 }
 
 /// Answer of an endpoint, complete or partly read
@@ -190,9 +225,7 @@
     let result = attempt(gateway, &mut in_flight, request, upload, limits).await;
     let endpoint = in_flight.endpoint.clone();
     let result = match result {
-        Ok((connection, head, uploaded)) => {
-            read_answer(gateway, in_flight, connection, head, uploaded, limits).await
-        }
+        Ok(received) => read_answer(gateway, in_flight, received, limits).await,
         Err(failure) => {
             in_flight.finish(pool_outcome(&failure));
             Err(failure)
@@ -213,8 +246,8 @@
 fn pool_outcome(failure: &Failure) -> Outcome {
     match failure {
         Failure::NotSent(_) | Failure::Broken(_) | Failure::Crashed(_) => Outcome::ConnectionFailed,
-        Failure::Shed => Outcome::Shed,
-        Failure::Misdirected => Outcome::Misdirected,
+        Failure::Shed(_) => Outcome::Shed,
+        Failure::Misdirected(_) => Outcome::Misdirected,
         Failure::TimedOut | Failure::Abandoned => Outcome::Failed,
         Failure::Withheld | Failure::CallerAborted(_) => Outcome::Cancelled,
     }
@@ -257,7 +290,7 @@
     request: &Request,
     upload: &mut Upload<'_>,
     limits: Limits,
-) -> Result<(Connection, Response, bool), Failure> {
+) -> Result<Received, Failure> {
     let address = in_flight.endpoint.address;
     let max_idle = if limits.idempotent {
         Duration::MAX
@@ -336,7 +369,7 @@
     upload: &mut Upload<'_>,
     limits: Limits,
     is_reused: bool,
-) -> Result<(Connection, Response, bool), Failure> {
+) -> Result<Received, Failure> {
     let to_failure = |error: &dyn std::fmt::Display| Failure::Broken(error.to_string());
     let now = Instant::now();
     let time_left = limits.deadline.saturating_duration_since(now);
@@ -388,19 +421,28 @@
         Err(to_failure(&"answers to other requests"))
     };
     let answer = timeout(limits.deadline, receiving.or(sending)).await;
-    let answer = answer.unwrap_or(Err(Failure::TimedOut))?;
-    Ok((connection, answer, uploaded.get()))
+    let head = answer.unwrap_or(Err(Failure::TimedOut))?;
+    Ok(Received {
+        connection,
+        head,
+        uploaded: uploaded.get(),
+        is_reused,
+    })
 }
 
 /// Reads the answer's body up to the buffer limit
 async fn read_answer(
     gateway: &Rc<Gateway>,
     mut in_flight: InFlight,
-    mut connection: Connection,
-    mut head: Response,
-    uploaded: bool,
+    received: Received,
     limits: Limits,
 ) -> Result<EndpointAnswer, Failure> {
+    let Received {
+        mut connection,
+        mut head,
+        uploaded,
+        is_reused,
+    } = received;
     head.keep_alive &= uploaded;
     advice::heed(gateway, &in_flight.endpoint, &head);
     let mut length = head.length;
@@ -428,7 +470,7 @@
             }
         }
     };
-    if let Some(failure) = rejection(&head, &in_flight) {
+    if let Some(failure) = rejection(&head, &in_flight, is_reused) {
         if is_complete {
             keep_connection(gateway, &in_flight, &head, connection);
         }
@@ -456,13 +498,17 @@
     })
 }
 
-fn rejection(head: &Response, in_flight: &InFlight) -> Option<Failure> {
+fn rejection(head: &Response, in_flight: &InFlight, is_reused: bool) -> Option<Failure> {
+    let refused = Refused {
+        status: head.status,
+        is_reused,
+    };
     if header::is_misdirected(head) {
         let mut pool = in_flight.gateway.pool.borrow_mut();
         pool.eject(Instant::now(), &in_flight.endpoint.id);
-        return Some(Failure::Misdirected);
+        return Some(Failure::Misdirected(refused));
     }
-    header::is_not_executed(head).then_some(Failure::Shed)
+    header::is_not_executed(head).then_some(Failure::Shed(refused))
 }
 
 fn keep_connection(
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::exchange::{self, EndpointAnswer, Failure, InFlight, Limits};
+use super::exchange::{self, EndpointAnswer, Failure, InFlight, Limits, Refused};
 use super::limit::Permit;
 use super::reply::{Refusal, Reply};
 use super::upload::Upload;
@@ -58,6 +58,8 @@
     run_attempts: u32,
     not_run_attempts: u32,
     permit_denials: u32,
+    /// Answers of endpoints that state that they did not run the request
+    refusals: Vec<Refused>,
     may_have_run: bool,
     estimate: Option<(usize, Duration, Duration)>,
 }
@@ -136,6 +138,7 @@
         run_attempts: 0,
         not_run_attempts: 0,
         permit_denials: 0,
+        refusals: Vec::new(),
         may_have_run: false,
         estimate: None,
     })
@@ -338,7 +341,10 @@
         drop(running);
         match &result {
             Ok(_) => self.run_attempts += 1,
-            Err(failure) if failure.is_not_run() => self.not_run_attempts += 1,
+            Err(failure) if failure.is_not_run() => {
+                self.not_run_attempts += 1;
+                self.record_refused(failure);
+            }
             Err(failure) => {
                 self.run_attempts += 1;
                 self.may_have_run = true;
@@ -355,6 +361,13 @@
         result
     }
 
+    fn record_refused(&mut self, failure: &Failure) {
+        if let Some(refused) = failure.refused() {
+            self.gateway.metrics.count_refused(refused);
+            self.refusals.push(refused);
+        }
+    }
+
     /// Records that an endpoint gave no answer to this request
     fn record_silence(&self, endpoint: &Endpoint) {
         // A crash closes no connection to a machine without power; the request may time out long
--- a/src/gateway/forward/refusal.rs
+++ b/src/gateway/forward/refusal.rs
@@ -70,6 +70,7 @@
             outcome,
             duration,
             tried_endpoints: &self.tried_endpoints,
+            refusals: &self.refusals,
             region: self.region.as_deref().unwrap_or("-"),
             estimate: self.estimate,
             time_left: self.deadline.saturating_duration_since(Instant::now()),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 
 use super::Gateway;
+use super::exchange::Refused;
 use super::record::millis;
 use crate::limit::Verdict;
 use crate::operator::metrics::{encode, exporter};
@@ -30,6 +31,7 @@
     store_calls: Counter<u64>,
     store_checks: Counter<u64>,
     crashes: Counter<u64>,
+    refused: Counter<u64>,
     broken_off: Counter<u64>,
     new_eras: Counter<u64>,
     panics: Counter<u64>,
@@ -74,6 +76,10 @@
                 "pier_gate_endpoint_crashes",
                 "Attempts during which the endpoint ended",
             ),
+            refused: counter(
+                "pier_gate_refused_attempts",
+                "Attempts that endpoints stated not to have run, by status and connection",
+            ),
             broken_off: counter(
                 "pier_gate_answers_broken_off",
                 "Answers that were broken off because they exceeded a limit",
@@ -136,6 +142,15 @@
         self.crashes.add(1, &[]);
     }
 
+    /// Counts an attempt that an endpoint stated not to have run
+    pub fn count_refused(&self, refused: Refused) {
+        let labels = [
+            KeyValue::new("status", i64::from(refused.status)),
+            KeyValue::new("reused", refused.is_reused),
+        ];
+        self.refused.add(1, &labels);
+    }
+
     /// Counts an answer that was broken off because it exceeded a limit
     pub fn count_broken_off(&self) {
         self.broken_off.add(1, &[]);
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -10,6 +10,7 @@
 use serde_json::{Map, Value, json};
 
 use super::Gateway;
+use super::exchange::Refused;
 use super::reply::Refusal;
 use crate::platform::header;
 use crate::{message, quarantine};
@@ -48,6 +49,8 @@
     pub duration: Duration,
     /// Endpoints that were tried, in order
     pub tried_endpoints: &'a [CompactString],
+    /// Answers of endpoints that state that they did not run the request, in order
+    pub refusals: &'a [Refused],
     /// Region that was selected
     pub region: &'a str,
     /// Estimate for the last endpoint: its rank for the object, the queue wait and the total time
@@ -116,6 +119,8 @@
         {
             return;
         }
+        let refusals = request.refusals.iter().map(ToString::to_string);
+        let refusals: Vec<String> = refusals.collect();
         let text = json!({
             "event": "request",
             "id": request.attempt_id,
@@ -127,6 +132,7 @@
             "took_ms": request.duration.as_millis() as u64,
             "left_ms": request.time_left.as_millis() as u64,
             "tried": request.tried_endpoints,
+            "refused": refusals,
             "region": request.region,
             "rank": request.estimate.map(|(rank, ..)| rank),
             "wait_ms": request.estimate.map(|(_, wait, _)| wait.as_millis() as u64),
@@ -203,6 +209,7 @@
             outcome: refusal.reason,
             duration,
             tried_endpoints: &[],
+            refusals: &[],
             region: "-",
             estimate: None,
             time_left: Duration::ZERO,
