--- a/tests/odd_answers.rs
+++ b/tests/odd_answers.rs
@@ -1,5 +1,5 @@
-//! Endpoints that write an earlier refusal once more or stop within the head of an answer, behind real
-//! `pier-gate` processes.
+//! Endpoints that write an earlier refusal once more, whole or in part, stop within the head of an
+//! answer, or answer 421 to what they ran, behind real `pier-gate` processes.
 
 mod site;
 
@@ -31,6 +31,18 @@
     CopyWithoutId,
     /// Closes the connection after this many bytes of the head
     CutHead(usize),
+    /// Writes the first part of the refusal when the next request has arrived, right before its
+    /// answer; without the attempt id it ends at the statement that the request did not run
+    CutCopyBefore(Id),
+    /// Answers 421 after it ran the request
+    Misdirected { names_itself: bool },
+}
+
+/// Whether a copy states the attempt id of the earlier request
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Id {
+    Earlier,
+    Missing,
 }
 
 const FAULTS: [Fault; 8] = [
@@ -44,6 +56,18 @@
     Fault::CutHead(120),
 ];
 
+const CUT_COPIES: [Fault; 2] = [
+    Fault::CutCopyBefore(Id::Earlier),
+    Fault::CutCopyBefore(Id::Missing),
+];
+
+const MISDIRECTIONS: [Fault; 2] = [
+    Fault::Misdirected {
+        names_itself: false,
+    },
+    Fault::Misdirected { names_itself: true },
+];
+
 /// Number of answers of an endpoint so far, and the attempt that it refused last
 type Past = Arc<Mutex<(usize, String)>>;
 
@@ -55,6 +79,20 @@
     format!("HTTP/1.1 503 -\r\nContent-Length: 2\r\n{id}Not-Executed: 1\r\n\r\nno")
 }
 
+/// Returns the first part of a refusal's copy, which ends at another byte for each answer
+fn cut_refusal(id: Id, refused: &str, number: usize) -> String {
+    let statement = "HTTP/1.1 503 -\r\nServer: odd\r\nNot-Executed: 1";
+    let copy = match id {
+        Id::Earlier => {
+            format!("{statement}\r\nAttempt-Id: {refused}\r\nContent-Length: 2\r\n\r\nno")
+        }
+        Id::Missing => statement.to_owned(),
+    };
+    // Odd answers come at every third number, so the steps reach each length.
+    let length = copy.len() - (number / 3) % copy.len();
+    copy[..length].to_owned()
+}
+
 async fn answer(
     fault: Fault,
     past: Past,
@@ -80,6 +118,18 @@
         Fault::CopyBehind if is_odd => format!("{success}{}", refusal(&refused)),
         Fault::CopyBefore if is_odd => format!("{}{success}", refusal(&refused)),
         Fault::CopyWithoutId if is_odd => format!("{}{success}", refusal("")),
+        Fault::CutCopyBefore(id) if is_odd => {
+            format!("{}{success}", cut_refusal(id, &refused, number))
+        }
+        Fault::Misdirected { names_itself } if is_odd => {
+            let id = raw::attempt_id(&request);
+            let meant = request.headers.get("Target-Instance").unwrap_or_default();
+            let instance = match names_itself {
+                true => format!("Instance-Id: {meant}\r\n"),
+                false => String::new(),
+            };
+            format!("HTTP/1.1 421 -\r\nContent-Length: 2\r\nAttempt-Id: {id}\r\n{instance}\r\nno")
+        }
         Fault::CutHead(bytes) if is_odd => {
             let cut = head.as_bytes().get(..bytes).unwrap_or_default();
             // An error means that the host has closed the connection.
@@ -154,6 +204,18 @@
     broken
 }
 
+// What is left of an earlier refusal must not count as the answer behind it.
+#[test]
+fn cut_refusal_before_an_answer_is_believed() {
+    site::play_all(CUT_COPIES.into_iter().map(play));
+}
+
+// Only the answer of another endpoint than the one that was meant proves that the request did not run.
+#[test]
+fn misdirection_by_the_meant_endpoint_is_believed() {
+    site::play_all(MISDIRECTIONS.into_iter().map(play));
+}
+
 // A request that an endpoint ran must not count as refused, nor a cut answer as whole.
 #[test]
 fn repeated_refusal_or_cut_head_is_taken_for_an_answer() {
