Do not believe a refusal in whose head another answer begins

What callers saw: once-only requests were told 503 'not run' though they had run (REFUSED), or ran at a second endpoint (TWICE).

Cause: when the first part of an earlier refusal came on a kept connection right before the request's own answer, both were read as one head: status and Not-Executed of the first, Attempt-Id of the second. Each header was looked up by itself, the first line of a name won, and nothing asked whether the head as a whole was one answer.

Change: a response head with a second status line is malformed, whoever reads it. What an answer proves is decided in one place apart from I/O (slice answer): several ids, a refusal that is stated twice, comes with a success or behind another answer, or an answer without an id where one is needed prove nothing; the outcome is then unknown.

--- /dev/null
+++ b/src/answer/mod.rs
@@ -0,0 +1,58 @@
+//! What the answer of an upstream proves about the request for which it was read.
+//!
+//! A wrong "did not run" makes a once-only request run twice, so a refusal counts only if nothing but
+//! the request itself can have caused it. On a connection that was used before, all or the first part
+//! of an earlier answer may stand before the request's own one. Heads with a second status line are
+//! malformed already ([`crate::message::Response::parse`]).
+
+#[cfg(test)]
+mod tests;
+
+/// What was seen of an exchange up to the head of an answer
+#[derive(Clone, Copy, Debug)]
+pub struct Evidence<'a> {
+    /// Id of the request, if it has one
+    pub sent_id: Option<&'a str>,
+    /// All ids that the head states
+    pub stated_ids: &'a [&'a str],
+    /// Whether an answer without an id may belong to an earlier request
+    pub needs_id: bool,
+    /// Number of answers to other requests that came before on the connection after the request
+    pub skipped: usize,
+    /// HTTP status
+    pub status: u16,
+    /// Number of header lines that state that the request did not run
+    pub refusals: usize,
+}
+
+/// What an answer proves
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It belongs to the request, which may have run
+    Own,
+    /// It belongs to the request, which did not run
+    NotRun,
+    /// It belongs to another request
+    Foreign,
+    /// Nothing; the reason is the text of an error
+    Unclear(&'static str),
+}
+
+/// Judges the head of an answer
+pub fn judge(evidence: &Evidence<'_>) -> Verdict {
+    match (evidence.sent_id, evidence.stated_ids) {
+        (_, [_, _, ..]) => return Verdict::Unclear("answer with several attempt ids"),
+        (Some(sent), [stated]) if sent != *stated => return Verdict::Foreign,
+        (Some(_), []) if evidence.needs_id || evidence.skipped > 0 => {
+            return Verdict::Unclear("answer without an attempt id");
+        }
+        _ => {}
+    }
+    match evidence.refusals {
+        0 => Verdict::Own,
+        1 if evidence.status < 400 => Verdict::Unclear("refusal with the status of a success"),
+        1 if evidence.skipped > 0 => Verdict::Unclear("refusal behind another answer"),
+        1 => Verdict::NotRun,
+        _ => Verdict::Unclear("refusal stated more than once"),
+    }
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,19 +8,25 @@
 use std::time::{Duration, Instant};
 
 use displaydoc::Display;
+use receive::Received;
 use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
 
 use super::limit::Permit;
-use super::stream::{self, RemainingBody};
+use super::stream::RemainingBody;
 use super::upload::{SendError, Upload};
 use super::{Gateway, advice};
 use crate::catalog::Endpoint;
 use crate::id::RouteId;
-use crate::message::{self, Connection, Request, Response, timeout};
+use crate::message::{Connection, Request, Response, timeout};
 use crate::placement::Outcome;
 use crate::platform::header;
 
+mod receive;
+
+#[cfg(test)]
+mod tests;
+
 /// Timeout for connecting to an endpoint; well above the delay between regions, but below the one
 /// second after which a lost SYN is retransmitted
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
@@ -33,13 +39,6 @@
 /// older ones, and after a reset it is unknown whether the request ran
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(800);
 
-/// Maximum number of answer bytes that are buffered before the answer is passed on; until then the
-/// request can still be retried at another endpoint
-const MAX_BUFFERED_BYTES: usize = 192 << 10;
-
-/// Maximum number of answers to earlier requests that are skipped on one connection
-const MAX_STRAY_ANSWERS: usize = 2;
-
 // The messages are values of the field `outcome` in the decision log.
 /// Reason why an attempt produced no answer to pass on
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
@@ -98,17 +97,6 @@
     }
 }
 
-/// Head of an answer, and the connection with the rest of it
-#[derive(Debug)]
-struct Received {
-    connection: Connection,
-    head: Response,
-    /// Whether the request was sent to its end before the head came
-    uploaded: bool,
-    /// Whether the connection had been used before
-    is_reused: bool,
-}
-
 /// Answer of an endpoint, complete or partly read
 #[derive(Debug)]
 pub struct EndpointAnswer {
@@ -225,7 +213,7 @@
     let result = attempt(gateway, &mut in_flight, request, upload, limits).await;
     let endpoint = in_flight.endpoint.clone();
     let result = match result {
-        Ok(received) => read_answer(gateway, in_flight, received, limits).await,
+        Ok(received) => receive::read_answer(gateway, in_flight, received, limits).await,
         Err(failure) => {
             in_flight.finish(pool_outcome(&failure));
             Err(failure)
@@ -399,133 +387,14 @@
         uploaded.set(true);
         std::future::pending().await
     };
-    let receiving = async {
-        for _ in 0..=MAX_STRAY_ANSWERS {
-            let answer = connection.read_response(&request.method).await;
-            let answer = answer.map_err(|error| to_failure(&error))?;
-            let sent_attempt = header::attempt_id(&request.headers);
-            match (sent_attempt, header::attempt_id(&answer.headers)) {
-                // It may be a late one to an earlier request.
-                (Some(_), None) if is_reused => {
-                    return Err(to_failure(&"answer without an attempt id"));
-                }
-                (Some(sent), Some(answered)) if sent != answered => {
-                    let body = connection
-                        .read_body(answer.length, MAX_BUFFERED_BYTES)
-                        .await;
-                    body.map_err(|error| to_failure(&error))?;
-                }
-                _ => return Ok(answer),
-            }
-        }
-        Err(to_failure(&"answers to other requests"))
-    };
+    let receiving = receive::read_head(&mut connection, request, is_reused);
     let answer = timeout(limits.deadline, receiving.or(sending)).await;
-    let head = answer.unwrap_or(Err(Failure::TimedOut))?;
+    let (head, verdict) = answer.unwrap_or(Err(Failure::TimedOut))?;
     Ok(Received {
         connection,
         head,
+        verdict,
         uploaded: uploaded.get(),
         is_reused,
     })
 }
-
-/// Reads the answer's body up to the buffer limit
-async fn read_answer(
-    gateway: &Rc<Gateway>,
-    mut in_flight: InFlight,
-    received: Received,
-    limits: Limits,
-) -> Result<EndpointAnswer, Failure> {
-    let Received {
-        mut connection,
-        mut head,
-        uploaded,
-        is_reused,
-    } = received;
-    head.keep_alive &= uploaded;
-    advice::heed(gateway, &in_flight.endpoint, &head);
-    let mut length = head.length;
-    let stream_limits = stream::Limits {
-        caller_deadline: limits.caller_deadline,
-        route_deadline: limits.deadline,
-    };
-    let deadline = limits.deadline.max(Instant::now()) + stream::IDLE_TIMEOUT;
-    let deadline = match stream_limits.deadline(length) {
-        Some(stream_deadline) => deadline.min(stream_deadline.max(Instant::now())),
-        None => deadline,
-    };
-    let mut body = Vec::new();
-    let is_complete = loop {
-        if body.len() >= MAX_BUFFERED_BYTES {
-            break false;
-        }
-        let piece = timeout(deadline, connection.read_body_part(&mut length)).await;
-        match piece.unwrap_or(Err(message::Error::Truncated)) {
-            Ok(Some(piece)) => body.extend_from_slice(&piece),
-            Ok(None) => break true,
-            Err(error) => {
-                in_flight.finish(Outcome::ConnectionFailed);
-                return Err(Failure::Broken(error.to_string()));
-            }
-        }
-    };
-    if let Some(failure) = rejection(&head, &in_flight, is_reused) {
-        if is_complete {
-            keep_connection(gateway, &in_flight, &head, connection);
-        }
-        in_flight.finish(pool_outcome(&failure));
-        return Err(failure);
-    }
-    if (200..300).contains(&head.status) && !header::is_signed(&head) {
-        in_flight.finish(Outcome::Failed);
-        return Err(Failure::Broken("success without a signature".to_owned()));
-    }
-    if is_complete {
-        keep_connection(gateway, &in_flight, &head, connection);
-        in_flight.finish_with_status(head.status);
-        return Ok(EndpointAnswer {
-            head,
-            body,
-            remaining: None,
-        });
-    }
-    let remaining = RemainingBody::new(connection, length, in_flight, stream_limits, body.len());
-    Ok(EndpointAnswer {
-        head,
-        body,
-        remaining: Some(remaining),
-    })
-}
-
-fn rejection(head: &Response, in_flight: &InFlight, is_reused: bool) -> Option<Failure> {
-    let refused = Refused {
-        status: head.status,
-        is_reused,
-    };
-    if header::is_misdirected(head) {
-        let mut pool = in_flight.gateway.pool.borrow_mut();
-        pool.eject(Instant::now(), &in_flight.endpoint.id);
-        return Some(Failure::Misdirected(refused));
-    }
-    header::is_not_executed(head).then_some(Failure::Shed(refused))
-}
-
-fn keep_connection(
-    gateway: &Gateway,
-    in_flight: &InFlight,
-    head: &Response,
-    connection: Connection,
-) {
-    if !head.keep_alive || connection.has_unread_bytes() {
-        return;
-    }
-    let keep_alive = header::keep_alive_timeout(&head.headers);
-    let mut idle_connections = gateway.idle_connections.borrow_mut();
-    idle_connections.put(
-        Instant::now(),
-        in_flight.endpoint.address,
-        connection,
-        keep_alive,
-    );
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! do no I/O, so that tests and benchmarks can run them for millions of steps. The tasks in
 //! `entry`, `caller`, `peer`, `upstream` and `operator` perform these actions.
 
+pub mod answer;
 pub mod bound;
 pub mod budget;
 pub mod caller;
--- a/src/message/connection.rs
+++ b/src/message/connection.rs
@@ -69,12 +69,17 @@
     /// Creates a connection from an open stream
     pub fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_nodelay(true)?;
-        Ok(Self {
+        Ok(Self::with_received(stream, Vec::new()))
+    }
+
+    /// Creates a connection on which bytes were received that no message has consumed
+    pub fn with_received(stream: TcpStream, buffer: Vec<u8>) -> Self {
+        Self {
             stream,
-            buffer: Vec::new(),
+            buffer,
             scanned: 0,
             chunk_state: ChunkState::Size,
-        })
+        }
     }
 
     /// Connects to an address
--- a/src/message/head.rs
+++ b/src/message/head.rs
@@ -83,6 +83,9 @@
 impl Response {
     /// Parses the complete head of the response to a request with this method
     pub fn parse(bytes: &[u8], method: &str) -> Result<Self, Error> {
+        if has_second_status_line(bytes) {
+            return Err(Error::Malformed("status line within a head"));
+        }
         let mut header_lines = [httparse::EMPTY_HEADER; MAX_HEADER_LINES];
         let mut parsed = httparse::Response::new(&mut header_lines);
         let status = parsed
@@ -105,6 +108,19 @@
     }
 }
 
+/// Returns whether a response head has a status line behind its start
+///
+/// It is then the first part of an earlier response with another one right behind it.
+pub fn has_second_status_line(head: &[u8]) -> bool {
+    let behind_start = head.get(1..).unwrap_or_default();
+    behind_start.windows(10).any(|window| match window {
+        [b'H', b'T', b'T', b'P', b'/', b'1', b'.', minor, b' ', code] => {
+            minor.is_ascii_digit() && code.is_ascii_digit()
+        }
+        _ => false,
+    })
+}
+
 fn copy_headers(lines: &[httparse::Header<'_>]) -> Headers {
     let mut headers = Headers::new();
     for line in lines {
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -16,7 +16,7 @@
 mod tests;
 
 pub use connection::{Connection, timeout};
-pub use head::{Request, Response};
+pub use head::{Request, Response, has_second_status_line};
 pub use length::Length;
 
 /// Maximum accepted length of a response head; servers commonly stay below 16 KiB
@@ -85,6 +85,14 @@
             .map_err(|_| Error::Malformed(name))
     }
 
+    /// Returns the number of lines of a header, also of those that are not valid UTF-8
+    pub fn count(&self, name: &str) -> usize {
+        let lines = self.0.iter();
+        lines
+            .filter(|(key, _)| key.eq_ignore_ascii_case(name))
+            .count()
+    }
+
     /// Returns whether a comma-separated header contains a token
     pub fn has_token(&self, name: &str, token: &str) -> bool {
         self.values(name)
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::answer::{self, Evidence, Verdict};
 use crate::bound;
 use crate::message::{Headers, Request, Response};
 use crate::util::stable_hash;
@@ -144,12 +145,39 @@
     format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n")
 }
 
-/// Returns whether the endpoint states that it did not execute the request
+/// Returns what an answer proves about a request that was sent
+///
+/// `is_reused` tells whether the connection was used before, `skipped` how many answers to other
+/// requests came on it since the request was sent.
+pub fn judge(request: &Request, response: &Response, is_reused: bool, skipped: usize) -> Verdict {
+    let Ok(stated_ids) = response.headers.texts(ATTEMPT_ID) else {
+        return Verdict::Unclear("unreadable attempt id");
+    };
+    answer::judge(&Evidence {
+        sent_id: attempt_id(&request.headers),
+        stated_ids: &stated_ids,
+        needs_id: is_reused,
+        skipped,
+        status: response.status,
+        refusals: refusals(response),
+    })
+}
+
+/// Returns how often an answer states that the endpoint did not run the request
+fn refusals(response: &Response) -> usize {
+    let stated = response.headers.count(NOT_EXECUTED);
+    match is_misdirected(response) {
+        true => stated.max(1),
+        false => stated,
+    }
+}
+
+/// Returns whether an answer claims that the request did not run; [`judge`] tells what it proves
 pub fn is_not_executed(response: &Response) -> bool {
     response.headers.get(NOT_EXECUTED).is_some() || response.status == 421
 }
 
-/// Returns whether the address now belongs to another endpoint
+/// Returns whether the endpoint answers that the request was meant for another one
 pub fn is_misdirected(response: &Response) -> bool {
     response.status == 421
 }
