pier-entry: do not believe a refusal in whose head another answer begins

Whole heads with several ids took the last one.

The tap refuses a head with a second status line, and the verdict is that of the slice answer. Two cases of late_copy_of_a_refusal_says_that_a_running_request_did_not_run are new: the first part of a refusal before the own answer, and two ids.

--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -20,6 +20,7 @@
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
+use crate::answer::{self, Evidence, Verdict};
 use crate::bound;
 use crate::http;
 use crate::slot::Load;
@@ -162,19 +163,27 @@
             true => invalid(&error),
             false => Error::Closed(address),
         })?;
+        let status: u16 = response.status().into();
+        let is_leaving = response.header("pier-leaving").is_some();
+        let is_shed = response.header("pier-shed").is_some();
         let own_id = format!("{:016x}", request.id);
-        let stated_id = response.header("pier-request");
-        match stated_id.map(|values| values.last().as_str()) {
-            Some(id) if id != own_id => return Err(invalid(&"response to another request")),
-            None if idle.states_ids => return Err(invalid(&"response without an id")),
-            _ => {}
+        let stated_ids = header_values(&response, "pier-request");
+        let verdict = answer::judge(&Evidence {
+            sent_id: Some(&own_id),
+            stated_ids: &stated_ids,
+            needs_id: idle.states_ids,
+            skipped: 0,
+            status,
+            refusals: usize::from(status == 503 && (is_leaving || is_shed)),
+        });
+        match verdict {
+            Verdict::Foreign => return Err(invalid(&"response to another request")),
+            Verdict::Unclear(reason) => return Err(invalid(&reason)),
+            Verdict::Own | Verdict::NotRun => {}
         }
-        let states_ids = stated_id.is_some();
+        let states_ids = !stated_ids.is_empty();
         let length = body_length(&request.method, &response).map_err(|text| invalid(&text))?;
         connection.set_body_length(length);
-        let status: u16 = response.status().into();
-        let is_leaving = response.header("pier-leaving").is_some();
-        let is_shed = response.header("pier-shed").is_some();
         let load = response
             .header("load")
             .and_then(|values| parse_load(values.last().as_str()));
@@ -201,7 +210,7 @@
         if length == Some(0) {
             body.finish();
         }
-        if status == 503 && (is_leaving || is_shed) {
+        if verdict == Verdict::NotRun {
             body.discard().await;
             return Err(match is_leaving {
                 true => Error::Leaving(address),
@@ -365,6 +374,13 @@
     headers
 }
 
+/// Returns the values of all lines of a header
+fn header_values<'a>(response: &'a Response, name: &str) -> Vec<&'a str> {
+    let values = response.header(name);
+    let values = values.into_iter().flat_map(|values| values.iter());
+    values.map(|value| value.as_str()).collect()
+}
+
 fn bounded_seconds(seconds: u64) -> Duration {
     bound::duration(Duration::from_secs(seconds))
 }
--- a/src/upstream/tap.rs
+++ b/src/upstream/tap.rs
@@ -12,6 +12,8 @@
 use smol::io::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
+use crate::message;
+
 /// Maximum length of a response head
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 
@@ -93,6 +95,9 @@
         };
         let end = search_start + end + HEAD_END.len();
         self.buffered = self.head.split_off(end);
+        if message::has_second_status_line(&self.head) {
+            return Err(invalid_data("status line within a response head"));
+        }
         self.phase = Phase::Body(0);
         self.check_ascii(end - previous_length)
     }
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -318,6 +318,18 @@
             second: COMPLETE_RESPONSE,
             expected: Outcome::Invalid,
         },
+        Case {
+            name: "first part of a refusal right before the own answer",
+            first: own_id,
+            second: b"HTTP/1.1 503 Busy\r\npier-shed: 1HTTP/1.1 200 OK\r\npier-request: 0000000000001234\r\ncontent-length: 2\r\n\r\nok",
+            expected: Outcome::Invalid,
+        },
+        Case {
+            name: "refusal with two ids",
+            first: own_id,
+            second: b"HTTP/1.1 503 Busy\r\npier-shed: 1\r\npier-request: 0000000000009999\r\npier-request: 0000000000001234\r\ncontent-length: 2\r\n\r\nno",
+            expected: Outcome::Invalid,
+        },
         Case {
             name: "own refusal",
             first: own_id,
