421 alone does not prove that the meant endpoint did not run a request

What callers saw: once-only requests were told 503 'not run', or ran twice, after the endpoint that was meant had run them and answered 421.

Cause: any 421 counted as 'another endpoint has the address'.

Any other 421 ends a once-only request as unknown; the endpoint is left out as before, and an idempotent request goes to another one within the retry budget.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -51,6 +51,8 @@
     Shed(Refused),
     /// another endpoint has the address
     Misdirected(Refused),
+    /// endpoint that was meant answers 421
+    Disowned,
     /// connection broke: {0}
     Broken(String),
     /// endpoint ended: {0}
@@ -235,7 +237,7 @@
     match failure {
         Failure::NotSent(_) | Failure::Broken(_) | Failure::Crashed(_) => Outcome::ConnectionFailed,
         Failure::Shed(_) => Outcome::Shed,
-        Failure::Misdirected(_) => Outcome::Misdirected,
+        Failure::Misdirected(_) | Failure::Disowned => Outcome::Misdirected,
         Failure::TimedOut | Failure::Abandoned => Outcome::Failed,
         Failure::Withheld | Failure::CallerAborted(_) => Outcome::Cancelled,
     }
@@ -387,7 +389,7 @@
         uploaded.set(true);
         std::future::pending().await
     };
-    let receiving = receive::read_head(&mut connection, request, is_reused);
+    let receiving = receive::read_head(&mut connection, request, &in_flight.endpoint.id, is_reused);
     let answer = timeout(limits.deadline, receiving.or(sending)).await;
     let (head, verdict) = answer.unwrap_or(Err(Failure::TimedOut))?;
     Ok(Received {
--- a/src/gateway/exchange/receive.rs
+++ b/src/gateway/exchange/receive.rs
@@ -38,13 +38,14 @@
 pub async fn read_head(
     connection: &mut Connection,
     request: &Request,
+    endpoint: &str,
     is_reused: bool,
 ) -> Result<(Response, Verdict), Failure> {
     let to_failure = |error: message::Error| Failure::Broken(error.to_string());
     for skipped in 0..=MAX_STRAY_ANSWERS {
         let head = connection.read_response(&request.method).await;
         let head = head.map_err(to_failure)?;
-        match header::judge(request, &head, is_reused, skipped) {
+        match header::judge(request, endpoint, &head, is_reused, skipped) {
             Verdict::Foreign => {
                 let body = connection.read_body(head.length, MAX_BUFFERED_BYTES).await;
                 body.map_err(to_failure)?;
@@ -144,7 +145,8 @@
     match (verdict, is_misdirected) {
         (Verdict::NotRun, true) => Some(Failure::Misdirected(refused)),
         (Verdict::NotRun, false) => Some(Failure::Shed(refused)),
-        _ => None,
+        (_, true) => Some(Failure::Disowned),
+        (_, false) => None,
     }
 }
 
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -18,6 +18,7 @@
 const STREAMS_VARIABLE: &str = "PIER_TEST_STREAMS";
 
 const OWN_ID: &str = "own-7";
+const TARGET: &str = "i-target";
 
 /// What the endpoint did with the request
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +41,7 @@
     let mut lines = vec![format!("Content-Length: {}", body.len())];
     lines.extend(id.map(|id| format!("Attempt-Id: {id}")));
     match statement {
+        Statement::None if status == 421 => lines.push(format!("Instance-Id: {TARGET}")),
         Statement::None => lines.push("Server-Signature: s.1".to_owned()),
         Statement::Header => lines.push("Not-Executed: 1".to_owned()),
         Statement::OtherInstance => lines.push("Instance-Id: i-other".to_owned()),
@@ -68,7 +70,7 @@
 fn own_answer(rng: &mut Rng, execution: Execution) -> (u16, Vec<u8>) {
     let (status, statement) = match execution {
         Execution::Ran => (
-            [200, 204, 404, 429, 500, 503][rng.usize(0..6)],
+            [200, 204, 404, 421, 429, 500, 503][rng.usize(0..7)],
             Statement::None,
         ),
         Execution::Refused => match rng.bool() {
@@ -167,7 +169,8 @@
         for number in 0..count {
             let stream = generate(&mut rng);
             let mut connection = Connection::with_received(closed.clone(), stream.bytes.clone());
-            let answer = receive::read_head(&mut connection, &request, stream.is_reused).await;
+            let answer =
+                receive::read_head(&mut connection, &request, TARGET, stream.is_reused).await;
             let text = String::from_utf8_lossy(&stream.bytes);
             let place = format!("stream {number}: {stream:?}\n{text}");
             let own_verdict = match stream.execution {
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -145,11 +145,17 @@
     format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n")
 }
 
-/// Returns what an answer proves about a request that was sent
+/// Returns what an answer proves about a request that was sent to an endpoint
 ///
 /// `is_reused` tells whether the connection was used before, `skipped` how many answers to other
 /// requests came on it since the request was sent.
-pub fn judge(request: &Request, response: &Response, is_reused: bool, skipped: usize) -> Verdict {
+pub fn judge(
+    request: &Request,
+    endpoint: &str,
+    response: &Response,
+    is_reused: bool,
+    skipped: usize,
+) -> Verdict {
     let Ok(stated_ids) = response.headers.texts(ATTEMPT_ID) else {
         return Verdict::Unclear("unreadable attempt id");
     };
@@ -159,17 +165,20 @@
         needs_id: is_reused,
         skipped,
         status: response.status,
-        refusals: refusals(response),
+        refusals: refusals(response, endpoint),
     })
 }
 
 /// Returns how often an answer states that the endpoint did not run the request
-fn refusals(response: &Response) -> usize {
+///
+/// 421 alone states it only if another endpoint answers.
+fn refusals(response: &Response, endpoint: &str) -> usize {
     let stated = response.headers.count(NOT_EXECUTED);
-    match is_misdirected(response) {
-        true => stated.max(1),
-        false => stated,
+    if stated > 0 || !is_misdirected(response) {
+        return stated;
     }
+    let instances = response.headers.texts(INSTANCE_ID).unwrap_or_default();
+    usize::from(matches!(instances[..], [instance] if instance != endpoint))
 }
 
 /// Returns whether an answer claims that the request did not run; [`judge`] tells what it proves
