Take in a planned stop only requests that end before the process does

What callers saw: requests that came late in the grace period were taken, passed on and cut at its end without an answer, among them once-only ones (LOST).

Cause: a stopping host served all requests for half of its grace period and none after it. The same held for requests that were sent once more or waited for a permit: only their arrival was looked at.

Change: a request is sent during a planned stop if its limit (the caller's or the route's) ends in time, or, in the first half of the period, if one and a half times the longest recent attempt on its route does (drain::Grace, drain::Longest). That is looked at when it arrives, when it is sent and when it is sent once more. What does not fit is refused at once as not run. Once the listener closes, nothing more is taken.

--- a/src/drain/mod.rs
+++ b/src/drain/mod.rs
@@ -2,13 +2,19 @@
 //!
 //! A stopping host first serves callers that still use it from a cached lookup, then hands over its
 //! once-only table, then finishes requests in flight. [`Stop`] tracks the phase; [`Handover`]
-//! selects the hosts that are offered the table, and the part of it that each may receive.
+//! selects the hosts that are offered the table, and the part of it that each may receive. [`Grace`]
+//! tells which requests a host takes that has to end at a fixed time, by their limits and by the
+//! [`Longest`] recent ones.
 
 use std::time::{Duration, Instant};
 
+pub use self::grace::Grace;
 pub use self::handover::{Handover, Offer, OfferOutcome};
+pub use self::longest::Longest;
 
+mod grace;
 mod handover;
+mod longest;
 
 #[cfg(test)]
 mod tests;
--- a/src/drain/tests.rs
+++ b/src/drain/tests.rs
@@ -5,7 +5,9 @@
 
 use proptest::prelude::*;
 
-use crate::drain::{Handover, OfferOutcome, PROPAGATION_DELAY, Phase, Progress, Stop};
+use crate::drain::{
+    Grace, Handover, Longest, OfferOutcome, PROPAGATION_DELAY, Phase, Progress, Stop,
+};
 use crate::id::{HostId, ServiceId};
 use crate::once::{Admission, RunOutcome, Snapshot, SnapshotEntry, StoredResponse, Table, Ticket};
 
@@ -282,3 +284,111 @@
     assert_eq!(numbers, [3, 4]);
     assert_eq!(offer.snapshots[0].entries.len(), 4);
 }
+
+#[test]
+fn stopping_host_takes_what_ends_in_time() {
+    const GRACE_PERIOD: u64 = 10_000;
+    const EXIT_MARGIN: u64 = 500;
+    struct Case {
+        name: &'static str,
+        /// Milliseconds since the stop began, until the request is given up, of the longest one
+        now: u64,
+        limit: u64,
+        longest: Option<u64>,
+        admits: bool,
+    }
+    let case = |name, now, limit, longest, admits| Case {
+        name,
+        now,
+        limit,
+        longest,
+        admits,
+    };
+    let cases = [
+        case("limit within the rest", 6000, 3500, None, true),
+        case("limit beyond the rest", 6000, 3600, None, false),
+        case("long limit, short requests", 4000, 9000, Some(1000), true),
+        case("long limit, long requests", 4000, 9000, Some(5000), false),
+        case("long limit, unknown requests", 4000, 9000, None, false),
+        case(
+            "long limit, short requests, late",
+            6000,
+            9000,
+            Some(100),
+            false,
+        ),
+        case("short limit, long requests", 6000, 1000, Some(5000), true),
+        case("after the end", 9600, 1, Some(1), false),
+    ];
+    let started = Instant::now();
+    let millis = Duration::from_millis;
+    let grace = Grace::new(started, millis(GRACE_PERIOD), millis(EXIT_MARGIN));
+    for case in cases {
+        let now = started + millis(case.now);
+        let limit = now + millis(case.limit);
+        let admits = grace.admits(now, limit, case.longest.map(millis));
+        assert_eq!(admits, case.admits, "{}", case.name);
+        let closed = grace.closed(now);
+        assert!(!closed.admits(now, limit, Some(millis(1))), "{}", case.name);
+    }
+}
+
+#[test]
+fn longest_requests_are_remembered_for_a_while() {
+    struct Case {
+        name: &'static str,
+        /// Seconds and duration in milliseconds of many requests
+        requests: &'static [(u64, u64)],
+        at: u64,
+        expected: Option<u64>,
+    }
+    const REQUESTS_EACH: usize = 20;
+    let cases = [
+        Case {
+            name: "none",
+            requests: &[],
+            at: 0,
+            expected: None,
+        },
+        Case {
+            name: "longest of several",
+            requests: &[(0, 100), (1, 900), (2, 200)],
+            at: 3,
+            expected: Some(900),
+        },
+        Case {
+            name: "longest of the span before",
+            requests: &[(0, 900), (40, 200)],
+            at: 45,
+            expected: Some(900),
+        },
+        Case {
+            name: "forgotten after two spans",
+            requests: &[(0, 900), (40, 200), (75, 300)],
+            at: 80,
+            expected: Some(300),
+        },
+        Case {
+            name: "no request for long",
+            requests: &[(0, 900)],
+            at: 100,
+            expected: None,
+        },
+    ];
+    let started = Instant::now();
+    let route = "r".into();
+    for case in cases {
+        let mut longest = Longest::default();
+        let at = |seconds| started + Duration::from_secs(seconds);
+        for (seconds, millis) in case.requests {
+            for _ in 0..REQUESTS_EACH {
+                longest.record(at(*seconds), &route, Duration::from_millis(*millis));
+            }
+        }
+        let expected = case.expected.map(Duration::from_millis);
+        assert_eq!(longest.get(at(case.at), &route), expected, "{}", case.name);
+    }
+    let mut longest = Longest::default();
+    longest.record(started, &route, Duration::from_millis(100));
+    assert_eq!(longest.get(started, &route), None, "a single request");
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -149,8 +149,12 @@
         if std::mem::replace(&mut self.finished, true) {
             return;
         }
-        let mut pool = self.gateway.pool.borrow_mut();
         let now = Instant::now();
+        if !matches!(outcome, Outcome::Shed | Outcome::Misdirected) {
+            let mut longest = self.gateway.longest.borrow_mut();
+            longest.record(now, &self.route, now - self.started);
+        }
+        let mut pool = self.gateway.pool.borrow_mut();
         pool.finish(
             now,
             &self.endpoint,
@@ -161,6 +165,14 @@
         );
     }
 
+    /// Returns whether the request may be sent now; seconds may have passed since the endpoint was
+    /// chosen
+    fn may_send(&self, limits: Limits) -> bool {
+        let gateway = &self.gateway;
+        advice::may_send(gateway, &self.endpoint, self.permit)
+            && gateway.may_start(Instant::now(), &self.route, limits.deadline)
+    }
+
     /// Returns the time since the request was sent
     pub fn elapsed(&self) -> Duration {
         self.started.elapsed()
@@ -297,7 +309,7 @@
         && upload.can_resend()
         && idle.is_idle().await
     {
-        if !advice::may_send(gateway, &in_flight.endpoint, in_flight.permit) {
+        if !in_flight.may_send(limits) {
             return Err(Failure::Withheld);
         }
         let sent = send(idle, in_flight, request, upload, limits, true).await;
@@ -341,7 +353,7 @@
     })?;
     gateway.metrics.count_connection();
     // The answer to another request may have come meanwhile.
-    if !advice::may_send(gateway, &in_flight.endpoint, in_flight.permit) {
+    if !in_flight.may_send(limits) {
         let mut idle_connections = gateway.idle_connections.borrow_mut();
         idle_connections.put(Instant::now(), address, connection, None);
         return Err(match broken {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,6 +24,9 @@
 /// Timeout of a request if neither the caller nor the route states one
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Reason of the refusal of a request that would not end before this host does
+const STOPPING: &str = "host is stopping";
+
 /// Maximum number of attempts that certainly did not run, in addition to those that ran
 const MAX_NOT_RUN_ATTEMPTS: u32 = 2;
 
@@ -87,9 +90,6 @@
     upload: &Upload<'_>,
     arrived: Instant,
 ) -> Result<Dispatch<'a>, Refusal> {
-    if gateway.refusing.get() {
-        return Err(Refusal::not_run("host is stopping", Duration::ZERO));
-    }
     header::check_request(&request.headers).map_err(|reason| Refusal::new(400, reason))?;
     let Some(configuration) = gateway.configuration() else {
         return Err(Refusal::not_run(
@@ -120,6 +120,9 @@
     let deadline = route.timeout.map_or(caller_deadline, |limit| {
         caller_deadline.min(arrived + limit)
     });
+    if !gateway.may_start(Instant::now(), &route.name, deadline) {
+        return Err(Refusal::not_run(STOPPING, Duration::ZERO));
+    }
     let affinity_key = header::affinity_key(&request.headers).filter(|_| route.session_affinity);
     gateway.count_request(arrived, &service);
     Ok(Dispatch {
@@ -156,6 +159,12 @@
             if now >= self.deadline {
                 return self.give_up(last_failure.unwrap_or(Failure::TimedOut));
             }
+            if !self.gateway.may_start(now, &self.route.name, self.deadline) {
+                return match last_failure {
+                    Some(failure) if self.may_have_run => self.give_up(failure),
+                    _ => self.refuse(STOPPING, Duration::ZERO),
+                };
+            }
             let Some((endpoint, choice)) = self.choose_endpoint(now) else {
                 return match last_failure {
                     Some(failure) => self.give_up(failure),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,8 +14,9 @@
 use smol::{LocalExecutor, Task};
 
 use crate::catalog::Catalog;
+use crate::drain::{Grace, Longest};
 use crate::fleet::{self, Fleet};
-use crate::id::{EndpointId, Incarnation, RegionId, ServiceId};
+use crate::id::{EndpointId, Incarnation, RegionId, RouteId, ServiceId};
 use crate::placement::{AffinityKeys, Pool, ServiceTime, SlidingWindow, service_time};
 use crate::platform::store::Kind;
 use crate::policy::Document;
@@ -143,10 +144,10 @@
     without_source: RefCell<BTreeMap<Kind, Instant>>,
     /// Full while reports are to be sent at once, since a request crashed an endpoint
     urgent_news: (Sender<()>, Receiver<()>),
-    /// Whether a planned stop has begun
-    stopping: Cell<bool>,
-    /// Whether new requests are refused because the process would end before they finish
-    refusing: Cell<bool>,
+    /// Planned stop, once it has begun
+    stop: Cell<Option<Grace>>,
+    /// Longest recent attempts of requests
+    longest: RefCell<Longest>,
     /// Number of open connections from callers
     open_connections: Cell<usize>,
     /// Number of requests in flight
@@ -190,8 +191,8 @@
             store_reads: Cell::default(),
             without_source: RefCell::default(),
             urgent_news: bounded(1),
-            stopping: Cell::new(false),
-            refusing: Cell::new(false),
+            stop: Cell::default(),
+            longest: RefCell::default(),
             open_connections: Cell::new(0),
             running_requests: Cell::new(0),
             executor,
@@ -218,7 +219,17 @@
 
     /// Returns whether a planned stop has begun
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.stop.get().is_some()
+    }
+
+    /// Returns whether a request may be sent to an endpoint now; `limit` is when it is given up
+    ///
+    /// During a planned stop, only what ends before the process does may be sent.
+    fn may_start(&self, now: Instant, route: &RouteId, limit: Instant) -> bool {
+        let Some(grace) = self.stop.get() else {
+            return true;
+        };
+        grace.admits(now, limit, self.longest.borrow().get(now, route))
     }
 
     /// Returns the active configuration
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -1,8 +1,9 @@
 //! Planned stop: leave the directory, finish the requests in flight, close the connections.
 //!
 //! The host keeps serving while callers may still have it in a directory answer, and sends
-//! `Connection: close` with each answer. In the second half of the grace period it refuses new
-//! requests, since it could not finish them, and ends once no request is in flight.
+//! `Connection: close` with each answer. Requests that would not end before the process does are
+//! refused ([`crate::drain::Grace`]). In the second half of the grace period the host ends once no
+//! request is in flight.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -11,14 +12,14 @@
 use smol::{Task, Timer};
 
 use super::{Gateway, peers};
-
-/// Part of the grace period in which new requests are served; a request that takes longer than the
-/// rest would be cut off
-const SERVING_RATIO: f64 = 0.5;
+use crate::drain::Grace;
 
 /// Time before the end of the grace period at which the process ends in any case
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 
+/// Time before that at which the last requests end, so that their answers reach the callers
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
 /// Maximum wait for open connections at the end; longer than a caller takes to send a request on a
 /// connection that it has just opened
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -29,22 +30,23 @@
 /// Runs a planned stop; `accept_task` accepts callers until `stop_accepting` is dropped
 pub async fn stop(gateway: &Rc<Gateway>, accept_task: Task<()>, stop_accepting: Sender<()>) {
     let started = Instant::now();
-    gateway.stopping.set(true);
+    let grace_period = gateway.settings.borrow().grace_period;
+    let grace = Grace::new(started, grace_period, EXIT_MARGIN + ANSWER_MARGIN);
+    gateway.stop.set(Some(grace));
     gateway.recorder.event(
         "stopping",
         &[("running", gateway.running_requests.get().into())],
     );
-    let grace_period = gateway.settings.borrow().grace_period;
     let leaving_gateway = gateway.clone();
     let deregistration = gateway.spawn(async move {
         peers::remove_own_entry(&leaving_gateway, started + grace_period / 2).await
     });
-    Timer::at(started + grace_period.mul_f64(SERVING_RATIO)).await;
-    gateway.refusing.set(true);
+    Timer::at(grace.serving_until).await;
     let deadline = started + grace_period.saturating_sub(EXIT_MARGIN);
     while Instant::now() < deadline && gateway.running_requests.get() > 0 {
         Timer::after(POLL_INTERVAL).await;
     }
+    gateway.stop.set(Some(grace.closed(Instant::now())));
     // From here on new connections are refused and callers try another host; connected callers are
     // still answered.
     drop(stop_accepting);
