pier-entry: refuse requests that outlast a planned stop

A stopping host waits for requests in flight as long as the longest deadline of a service, 30 s at least, but went on taking new ones until none was in flight. Under unbroken load the last ones would be cut when it ends.

Once the end is known, a request whose deadline lies behind it is answered at once: not run, or unknown under a ticket, as an earlier request with the same ticket may have run. request_that_outlasts_a_planned_stop_is_taken checks both; it sets the end of the stop itself and could not be built before. Requests that other hosts pass on are not looked at.

--- a/src/caller/handle.rs
+++ b/src/caller/handle.rs
@@ -65,6 +65,9 @@
         reason: Reason::Share,
     };
     let outcome = match is_once_only {
+        false if !host.ends_before_stop(deadline) => Outcome::NotRun(refusal(Cause::Stopping)),
+        // An earlier request with the same ticket may have run.
+        true if !host.ends_before_stop(deadline) => Outcome::Unknown(refusal(Cause::Stopping)),
         false => steer::steer(host, wire_request, deadline, true).await,
         true => match parse_ticket(host, request, &wire_request.service, id) {
             Ok(ticket) => execute::dispatch(host, ticket, wire_request, deadline).await,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -110,6 +110,8 @@
     retry_budgets: Mutex<BTreeMap<ServiceId, Budget>>,
     slots: Mutex<BTreeMap<ServiceId, Slots>>,
     is_stopping: AtomicBool,
+    /// Time at which a planned stop ends in any case, once that is known
+    stops_at: Mutex<Option<Instant>>,
     in_flight: AtomicUsize,
     buffered_bytes: AtomicUsize,
     attempts: AtomicU64,
@@ -160,6 +162,7 @@
             retry_budgets: Mutex::default(),
             slots: Mutex::default(),
             is_stopping: AtomicBool::new(false),
+            stops_at: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             buffered_bytes: AtomicUsize::new(0),
             attempts: AtomicU64::new(0),
@@ -377,6 +380,16 @@
         lock(&self.view).leave(Instant::now());
     }
 
+    /// Sets the time at which a planned stop ends in any case
+    pub fn set_stops_at(&self, stops_at: Instant) {
+        *lock(&self.stops_at) = Some(stops_at);
+    }
+
+    /// Returns whether a request with this deadline ends before a planned stop does
+    pub fn ends_before_stop(&self, deadline: Instant) -> bool {
+        lock(&self.stops_at).is_none_or(|stops_at| deadline <= stops_at)
+    }
+
     /// Returns the number of requests in flight on this host
     pub fn in_flight_count(&self) -> usize {
         self.in_flight.load(Ordering::SeqCst)
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -33,7 +33,11 @@
             running: host.in_flight_count(),
             is_handed_over,
         };
-        match stop.advance(Instant::now(), progress) {
+        let phase = stop.advance(Instant::now(), progress);
+        if let Some(deadline) = stop.deadline() {
+            host.set_stops_at(deadline);
+        }
+        match phase {
             Phase::Done => break,
             Phase::HandingOver => {
                 let deadline = stop.deadline().unwrap_or(started_at);
--- a/src/entry/tests/stop.rs
+++ b/src/entry/tests/stop.rs
@@ -72,3 +72,62 @@
         );
     });
 }
+
+// A request that would be in flight when a stopping host ends must be left to another host.
+#[test]
+fn request_that_outlasts_a_planned_stop_is_taken() {
+    struct Case {
+        name: &'static str,
+        /// Milliseconds that the caller waits
+        deadline: u64,
+        is_once_only: bool,
+        outcome: &'static str,
+    }
+    const TIME_LEFT: Duration = Duration::from_secs(2);
+    let cases = [
+        Case {
+            name: "ends in time",
+            deadline: 1000,
+            is_once_only: false,
+            outcome: "served",
+        },
+        Case {
+            name: "may last longer",
+            deadline: 4000,
+            is_once_only: false,
+            outcome: "not-run",
+        },
+        Case {
+            name: "once-only, ends in time",
+            deadline: 1000,
+            is_once_only: true,
+            outcome: "served",
+        },
+        Case {
+            name: "once-only, its ticket may have run",
+            deadline: 4000,
+            is_once_only: true,
+            outcome: "unknown",
+        },
+    ];
+    smol::block_on(async {
+        let upstream = Upstream::new(Behavior::Slow(Duration::from_millis(10))).await;
+        let revision = fake::revision(&[&upstream], 3);
+        let members = start_fleet(&[("a", "z1"), ("b", "z1")], &revision).await;
+        for case in cases {
+            let ticket = members[1].host.issue_ticket(&"portal".into());
+            members[0].host.set_stops_at(Instant::now() + TIME_LEFT);
+            let deadline = format!("Pier-Deadline: {}\r\n", case.deadline);
+            let text = match case.is_once_only {
+                true => {
+                    let headers = format!("Pier-Ticket: {ticket}\r\n{deadline}");
+                    fake::post("/s/portal/pay", &headers, "20")
+                }
+                false => format!("GET /s/portal/x HTTP/1.1\r\nHost: entry\r\n{deadline}\r\n"),
+            };
+            let response = send_request(members[0].port, &text).await;
+            let outcome = fake::header(&response, "pier-outcome");
+            assert_eq!(outcome, Some(case.outcome), "{}: {response}", case.name);
+        }
+    });
+}
