--- a/src/answer/tests.rs
+++ b/src/answer/tests/mod.rs
@@ -1,6 +1,8 @@
 //! Verdicts on single answers.
 
-use super::{Evidence, Verdict, judge};
+mod model;
+
+use crate::answer::{Evidence, Verdict, judge};
 
 #[test]
 fn answers_prove_what_they_state_only_where_nothing_else_can_be_meant() {
