pier-entry: a request without a ticket is refused as not run also late in a stop

Read in the diff: the look at the end of the stop came before the ticket, so a once-only request without one, which cannot have run, was answered 'unknown'.

--- a/src/caller/handle.rs
+++ b/src/caller/handle.rs
@@ -64,12 +64,13 @@
         origin: host.settings.zone.clone(),
         reason: Reason::Share,
     };
+    let outlasts_stop = !host.ends_before_stop(deadline);
     let outcome = match is_once_only {
-        false if !host.ends_before_stop(deadline) => Outcome::NotRun(refusal(Cause::Stopping)),
-        // An earlier request with the same ticket may have run.
-        true if !host.ends_before_stop(deadline) => Outcome::Unknown(refusal(Cause::Stopping)),
+        false if outlasts_stop => Outcome::NotRun(refusal(Cause::Stopping)),
         false => steer::steer(host, wire_request, deadline, true).await,
         true => match parse_ticket(host, request, &wire_request.service, id) {
+            // An earlier request with the same ticket may have run.
+            Ok(_) if outlasts_stop => Outcome::Unknown(refusal(Cause::Stopping)),
             Ok(ticket) => execute::dispatch(host, ticket, wire_request, deadline).await,
             Err(response) => return *response,
         },
