--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -10,8 +10,9 @@
 use tanagerpier::message::{Connection, Request, timeout};
 use tanagerpier::util::stable_hash;
 
+use site::options::Options;
 use site::raw::{self, RawEndpoint};
-use site::{HOST_NAME, Options, Site};
+use site::{HOST_NAME, Site};
 
 /// Number of endpoints
 const ENDPOINTS: usize = 8;
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod limit;
 pub mod load;
+pub mod options;
 mod play;
 pub mod process;
 pub mod proxy;
@@ -29,6 +30,7 @@
 use tanagerpier::platform::standin::store::Store;
 
 // Some test binaries start their deployments one by one.
+use options::Options;
 #[allow(unused_imports)]
 pub use play::{collect, play_all};
 use process::Process;
@@ -49,30 +51,6 @@
 /// Service that no route leads to
 pub const OTHER_SERVICE: &str = "library";
 
-/// What tests may choose about a deployment
-#[derive(Clone, Copy, Debug)]
-pub struct Options {
-    /// Number of retries that the whole fleet may always make
-    pub retry_slack: u32,
-    /// Slots of an endpoint and the time that a request takes in one
-    pub capacity: (usize, Duration),
-    /// Seconds between SIGTERM and SIGKILL
-    pub grace_secs: u64,
-    /// Timeout of all routes, in milliseconds
-    pub timeout_ms: u64,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            retry_slack: 60,
-            capacity: (3, Duration::from_millis(20)),
-            grace_secs: STOP_GRACE_SECS,
-            timeout_ms: 2500,
-        }
-    }
-}
-
 /// Name of the host in requests
 pub const HOST_NAME: &str = "portal.example";
 
