--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -51,9 +51,9 @@
     Duration::from_millis(case.work.start + stable_hash(&id) % span)
 }
 
-/// How a request ended for its caller
+/// Request of a caller, and how it ended
 #[derive(Debug)]
-struct Result {
+struct Ended {
     id: String,
     /// Time since SIGTERM, zero before it
     sent: Duration,
@@ -67,7 +67,7 @@
     host: SocketAddr,
     id: String,
     stopped_at: Option<Instant>,
-) -> (Result, Option<Connection>) {
+) -> (Ended, Option<Connection>) {
     let sent_at = Instant::now();
     let deadline = sent_at + Duration::from_millis(case.limit) + Duration::from_secs(1);
     let request = format!(
@@ -90,25 +90,25 @@
     let answer = timeout(deadline, exchange).await.flatten();
     let (status, connection) = answer.unzip();
     let sent = stopped_at.map_or(Duration::ZERO, |stopped_at| sent_at - stopped_at);
-    (Result { id, sent, status }, connection)
+    (Ended { id, sent, status }, connection)
 }
 
 /// Returns what is wrong with the end of a request, if anything is
-fn judge(case: &Case, result: &Result, arrivals: usize) -> Option<String> {
+fn judge(case: &Case, ended: &Ended, arrivals: usize) -> Option<String> {
     let grace = Duration::from_secs(case.grace_secs);
     if arrivals == 0 {
         return None;
     }
-    if let Some(status) = result.status {
+    if let Some(status) = ended.status {
         return matches!(status, 408 | 421 | 429 | 503)
-            .then(|| format!("{}: {result:?} ran", case.name));
+            .then(|| format!("{}: {ended:?} ran", case.name));
     }
-    let work_ends = result.sent + work(case, &result.id);
+    let work_ends = ended.sent + work(case, &ended.id);
     let is_excused =
-        result.sent <= EXCUSED_SENDING && work_ends >= grace.mul_f64(1.0 - EXCUSED_RATIO);
+        ended.sent <= EXCUSED_SENDING && work_ends >= grace.mul_f64(1.0 - EXCUSED_RATIO);
     (!is_excused).then(|| {
         format!(
-            "{}: {result:?} was cut, its work ends at {work_ends:?}",
+            "{}: {ended:?} was cut, its work ends at {work_ends:?}",
             case.name
         )
     })
@@ -169,23 +169,23 @@
         running.push(smol::spawn(sending));
         Timer::after(REQUEST_INTERVAL).await;
     }
-    let mut results = Vec::new();
+    let mut all_ended = Vec::new();
     for task in running {
-        results.push(task.await.0);
+        all_ended.push(task.await.0);
     }
     let arrivals = |id: &str| endpoints.iter().map(|endpoint| endpoint.arrivals(id)).sum();
-    let mut broken: Vec<String> = results
+    let mut broken: Vec<String> = all_ended
         .iter()
-        .filter_map(|result| judge(&case, result, arrivals(&result.id)))
+        .filter_map(|ended| judge(&case, ended, arrivals(&ended.id)))
         .collect();
-    let owed = results
+    let owed = all_ended
         .iter()
-        .filter(|result| result.sent < Duration::from_millis(case.served_until));
-    let (owed, served) = owed.fold((0, 0), |(owed, served), result| {
-        (owed + 1, served + usize::from(result.status == Some(200)))
+        .filter(|ended| ended.sent < Duration::from_millis(case.served_until));
+    let (owed, served) = owed.fold((0, 0), |(owed, served), ended| {
+        (owed + 1, served + usize::from(ended.status == Some(200)))
     });
-    let last_served = results.iter().filter(|result| result.status == Some(200));
-    let last_served = last_served.map(|result| result.sent).max();
+    let last_served = all_ended.iter().filter(|ended| ended.status == Some(200));
+    let last_served = last_served.map(|ended| ended.sent).max();
     println!(
         "{}: {served} of {owed} served, the last one sent {last_served:?}",
         case.name
