--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -147,8 +147,10 @@
             for number in 0..servers {
                 site.add_server(region, index as u8 * 40 + number).await;
             }
-            for number in 0..gateways {
-                let ip = address(subnet, 10 + index as u8 * 20 + number, 0).ip();
+            let hosts = options.first_region_hosts.filter(|_| index == 0);
+            let hosts_subnet = reserve_subnet().await;
+            for number in 0..hosts.unwrap_or(gateways) {
+                let ip = address(hosts_subnet, 10 + number, 0).ip();
                 let proxy = Proxy::start(SocketAddr::new(ip, 0), store_address).await;
                 let gateway = Gateway {
                     name: format!("gate-{region}-{number}"),
@@ -325,7 +327,8 @@
              zones: {{{zones}}}\nlisten:\n  frontend: \"{ip}:8161\"\n  readiness: \"{ip}:8167\"\n  \
              control_plane: \"{ip}:8166\"\n  directory: \"{ip}:8164\"\n\
              internal_ports: [7720, 7735]\nseeds: [{seeds}]\n\
-             bounds: {{grace_s: {grace}, retry_ratio: 0.2, retry_window_s: 10, retry_slack: {slack}}}\n\
+             bounds: {{grace_s: {grace}, retry_ratio: 0.2, retry_window_s: 10, retry_slack: {slack}, \
+             config_apply_ms: {apply}}}\n\
              platform: {{address: \"{store}\"}}\n",
             name = gateway.name,
             region = gateway.region,
@@ -333,6 +336,7 @@
             store = gateway.store_proxy.address,
             slack = self.options.retry_slack,
             grace = self.options.grace_secs,
+            apply = self.options.config_apply_ms,
         );
         let settings_path = self.directory.join(format!("{}.yaml", gateway.name));
         std::fs::write(&settings_path, settings).expect("settings are written");
--- a/tests/site/options.rs
+++ b/tests/site/options.rs
@@ -15,6 +15,10 @@
     pub grace_secs: u64,
     /// Timeout of all routes, in milliseconds
     pub timeout_ms: u64,
+    /// Number of hosts in the first region, `None` for as many as in the others
+    pub first_region_hosts: Option<u8>,
+    /// Time in which a configuration must be in force, in milliseconds
+    pub config_apply_ms: u64,
 }
 
 impl Default for Options {
@@ -24,6 +28,8 @@
             capacity: (3, Duration::from_millis(20)),
             grace_secs: STOP_GRACE_SECS,
             timeout_ms: 2500,
+            first_region_hosts: None,
+            config_apply_ms: 2000,
         }
     }
 }
