Log that a host is not followed any more, and how long it had been silent

`source-left` names the kind, the host and the time since anything was heard from it.

tests/silent_readers.rs waits until the same two hosts have read the store for five seconds: without that, one play in three had a third host that still read it, and its reports told the others within 1.22 s.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -293,6 +293,12 @@
         member.map(|member| member.host.clone())
     }
 
+    /// Returns for how long nothing has been heard from a host, `None` if nothing ever was
+    pub fn silence(&self, now: Instant, host: &HostId) -> Option<Duration> {
+        let last_heard = self.last_heard.get(host)?;
+        Some(now.saturating_duration_since(*last_heard))
+    }
+
     /// Records a report received from a host
     pub fn record_report(&mut self, now: Instant, report: &Report) {
         self.last_heard.insert(report.host.clone(), now);
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -3,10 +3,10 @@
 
 use std::time::{Duration, Instant};
 
-use crate::platform::store::{CopyAge, Kind};
-
 use super::Gateway;
 use super::source::Source;
+use crate::id::HostId;
+use crate::platform::store::{CopyAge, Kind};
 
 /// Age of the store's answer from which a copy is not served to other hosts
 ///
@@ -63,15 +63,33 @@
     }
 }
 
+/// Returns the name of a source in the log
+fn source_name(gateway: &Gateway, source: Source) -> HostId {
+    if source.is_store {
+        return "store".into();
+    }
+    let host = gateway.fleet.borrow().host_at(source.address);
+    host.unwrap_or_else(|| source.address.to_string().into())
+}
+
+/// Logs that a host is not followed any more, and how long it has been silent
+pub fn record_source_left(gateway: &Gateway, kind: Kind, source: Source) {
+    let name = source_name(gateway, source);
+    let silence = gateway.fleet.borrow().silence(Instant::now(), &name);
+    let fields = [
+        ("kind", kind.name().into()),
+        ("source", name.as_str().into()),
+        (
+            "silent_ms",
+            silence.map(|time| time.as_millis() as u64).into(),
+        ),
+    ];
+    gateway.recorder.event("source-left", &fields);
+}
+
 /// Logs that a kind is read from another source than before
 pub fn record_source(gateway: &Gateway, kind: Kind, source: Source) {
-    let name = match source.is_store {
-        true => "store".into(),
-        false => match gateway.fleet.borrow().host_at(source.address) {
-            Some(host) => host,
-            None => source.address.to_string().into(),
-        },
-    };
+    let name = source_name(gateway, source);
     let origin = gateway.mirror.borrow().origin(kind);
     let now = Instant::now();
     let age = origin.map(|origin| origin.age(now).as_millis() as u64);
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -274,7 +274,7 @@
                 }
             }
             Step::SourceReplaced => {
-                log::info!("{kind:?}: the followed host is no longer the source");
+                origin::record_source_left(&gateway, kind, source);
                 progress.pinned = None;
                 progress.source_index = 0;
                 progress.forget_position_at(self::sources(&gateway)[0]);
--- a/tests/silent_readers.rs
+++ b/tests/silent_readers.rs
@@ -25,9 +25,12 @@
 /// Number of hosts of a region that read the store once it is settled who follows whom
 const READERS: usize = 2;
 
-/// Time in which that is settled after a start, and until the entries of stopped hosts are removed
+/// Time in which that is settled after a start
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(40);
 
+/// Time for which it must not change; a host that found another source keeps it for four seconds
+const SETTLED_TIME: Duration = Duration::from_secs(5);
+
 /// Time from the silence to the change
 const CHANGE_DELAY: Duration = Duration::from_millis(100);
 
@@ -63,14 +66,22 @@
 
 /// Waits until only the readers of the first region read the store; returns them and the others
 async fn settled(site: &Site) -> (Vec<usize>, Vec<usize>) {
-    let deadline = Instant::now() + SETTLE_TIMEOUT;
+    let start = Instant::now();
     let hosts = (0..site.gateways.len()).filter(|host| site.gateways[*host].region == REGIONS[0]);
+    let mut previous = Vec::new();
+    let mut unchanged_since = start;
     loop {
         Timer::after(Duration::from_millis(500)).await;
         let (readers, others): (Vec<usize>, Vec<usize>) =
             hosts.clone().partition(|host| reads_store(site, *host));
-        if readers.len() == READERS || Instant::now() > deadline {
-            println!("readers {readers:?} of {}", readers.len() + others.len());
+        if readers != previous {
+            unchanged_since = Instant::now();
+            previous.clone_from(&readers);
+        }
+        let is_settled = readers.len() == READERS && unchanged_since.elapsed() > SETTLED_TIME;
+        if is_settled || start.elapsed() > SETTLE_TIMEOUT {
+            let time = unchanged_since - start;
+            println!("readers {readers:?}, the same since {time:.1?} after the start");
             return (readers, others);
         }
     }
