Leave a silent reader after a share of the bound, not after four load reports

What callers saw: in a region of 65 hosts whose two readers of the store fall silent without closing a connection, all hosts answer by the older configuration for up to 3.01 to 3.03 s after the store acknowledged a new one (3 s allowed), with no load at all; regions of 100 hosts and more take longer.

Cause: followers hear of their reader's silence by its load reports alone. These come at 100 ms and 8 ms more for each host of the region, and four of them had to be missed: 0.7 s with few hosts, 2.5 s with 65, 3.7 s with 104. Nobody in the region is ahead meanwhile, so no report shows the lag. A bound of the users was served by a time that grows with the fleet. Both readers could stand in one zone, whose loss takes both.

Change: readers send pulses to their region at a tenth of `config_apply_ms`, which is read from the settings, and are left after three tenths of it. Pulses also carry what the reader has read. The readers of a region are in different zones if both have strong hosts. A reader that is no longer one says so with its last pulse. The list of one object at a new reader is not delayed by the number of hosts any more.

Why it works: the time to notice is 0.9 s of 3 s (0.6 s of 2 s) at any number of hosts; all hosts of the region count from the same pulse, so the next reader notices together with those that will follow it.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -203,6 +203,7 @@
         self.last_heard.remove(host);
         self.watched_since.remove(host);
         self.unresponsive.remove(host);
+        self.forget_pulses(host);
         let Some(member) = self.members.remove(host) else {
             return false;
         };
--- a/src/fleet/readers.rs
+++ b/src/fleet/readers.rs
@@ -9,6 +9,9 @@
 use crate::id::HostId;
 use crate::util::stable_hash;
 
+#[cfg(test)]
+mod tests;
+
 /// Number of hosts per region that read the store directly; two, so that one may fail unnoticed
 pub const READERS_PER_REGION: usize = 2;
 
@@ -24,6 +27,9 @@
 /// pass through two other hosts
 const STORE_READER_TTL: Duration = Duration::from_secs(3);
 
+/// Number of timeouts after which a pulse says nothing any more, as the host was no reader lately
+const PULSE_TTL_TIMEOUTS: u32 = 4;
+
 /// What is known of the hosts as readers
 #[derive(Debug, Default)]
 pub struct Observations {
@@ -31,6 +37,16 @@
     failed: BTreeMap<HostId, Instant>,
     /// Hosts that read the store, and when they last did
     reading: BTreeMap<HostId, Instant>,
+    /// Hosts that send pulses, as others follow them
+    pulses: BTreeMap<HostId, Pulse>,
+}
+
+/// Last pulse of a host
+#[derive(Clone, Copy, Debug)]
+struct Pulse {
+    received_at: Instant,
+    /// How long the host may be silent after it
+    timeout: Duration,
 }
 
 /// Whether a host failed as a reader, is weak, does not read the store yet, and a hash of its name;
@@ -40,7 +56,8 @@
 impl Fleet {
     /// Returns the hosts of a region that read the store directly; the others replicate from them
     ///
-    /// A host without a report within `timeout` may be partitioned and is excluded. A weak host is
+    /// A host without a report within `timeout` may be partitioned and is excluded, and so is one whose
+    /// pulses stopped. The readers are in different zones if there are candidates. A weak host is
     /// chosen only if there are not enough strong ones, and one that cannot read the store only if no
     /// other host can: when many hosts switch to it at once, as
     /// after the failure of the other reader, the lists that it sends delay its own reports, and it
@@ -48,13 +65,16 @@
     pub fn readers(&self, now: Instant, region: &str, timeout: Duration) -> Vec<&Member> {
         self.rank_readers(now, region, |member| {
             let last_heard = self.last_heard.get(&member.host);
-            member.host == self.own || last_heard.is_some_and(|at| now < *at + timeout)
+            let is_heard = last_heard.is_some_and(|at| now < *at + timeout);
+            member.host == self.own || (is_heard && !self.is_overdue(now, &member.host))
         })
     }
 
     /// Returns the other hosts of a region that are likely to be readers, whether they reported or not
     pub fn likely_readers(&self, now: Instant, region: &str) -> Vec<&Member> {
-        self.rank_readers(now, region, |member| member.host != self.own)
+        self.rank_readers(now, region, |member| {
+            member.host != self.own && !self.is_overdue(now, &member.host)
+        })
     }
 
     fn rank_readers(
@@ -84,6 +104,13 @@
             })
             .collect();
         ranked.sort_by(|(a, first), (b, second)| a.cmp(b).then(first.host.cmp(&second.host)));
+        // A zone that is cut off or loses power must not take all readers with it.
+        if let Some(zone) = ranked.first().map(|(_, first)| first.zone.clone()) {
+            let is_near_first = |member: &Member| member.zone == zone;
+            ranked[1..].sort_by_key(|((has_failed, is_weak, ..), member)| {
+                (*has_failed, *is_weak, is_near_first(member))
+            });
+        }
         ranked.truncate(READERS_PER_REGION);
         ranked.into_iter().map(|(_, member)| member).collect()
     }
@@ -118,6 +145,32 @@
         }
     }
 
+    /// Records a pulse of a host, which gives a sign of life within `timeout` after each
+    pub fn record_pulse(&mut self, now: Instant, host: &HostId, timeout: Duration) {
+        self.last_heard.insert(host.clone(), now);
+        self.unresponsive.remove(host);
+        let pulse = Pulse {
+            received_at: now,
+            timeout,
+        };
+        self.readers.pulses.insert(host.clone(), pulse);
+    }
+
+    /// Records that a host sends no more pulses
+    pub fn forget_pulses(&mut self, host: &HostId) {
+        self.readers.pulses.remove(host);
+    }
+
+    /// Returns whether a host that sent pulses has been silent for too long
+    pub fn is_overdue(&self, now: Instant, host: &HostId) -> bool {
+        let Some(pulse) = self.readers.pulses.get(host) else {
+            return false;
+        };
+        let is_recent = now < pulse.received_at + pulse.timeout * PULSE_TTL_TIMEOUTS;
+        let silence = self.silence(now, host);
+        is_recent && silence.is_some_and(|silence| silence >= pulse.timeout)
+    }
+
     /// Records that a host does not read the store any more
     pub fn forget_store_reader(&mut self, host: &HostId) {
         self.readers.reading.remove(host);
@@ -132,8 +185,10 @@
     /// Returns the other hosts that read the store, and for how long they have not been heard to
     pub fn store_readers(&self, now: Instant) -> impl Iterator<Item = (&Member, Duration)> {
         let reading = self.readers.reading.iter();
-        let recent = reading
-            .filter(move |(host, last)| **host != self.own && now < **last + STORE_READER_TTL);
+        let recent = reading.filter(move |(host, last)| {
+            let is_recent = now < **last + STORE_READER_TTL;
+            is_recent && **host != self.own && !self.is_overdue(now, host)
+        });
         recent.filter_map(move |(host, last)| {
             let member = self.members.get(host)?;
             Some((member, now.saturating_duration_since(*last)))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 mod peers;
 mod ports;
 mod probe;
+mod pulse;
 mod quarantine;
 mod record;
 mod reply;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,8 +12,10 @@
 
 use super::datagram::{Message, decode, encode};
 use super::source::{LagMonitor, Resync};
-use super::{Gateway, holdover_sync, limit, quarantine};
-use crate::fleet::{Member, PING_INTERVAL, Report, SMALL_FLEET_HOSTS, load_report_interval};
+use super::{Gateway, holdover_sync, limit, pulse, quarantine};
+use crate::fleet::{
+    Member, PING_INTERVAL, Report, SMALL_FLEET_HOSTS, Watermark, load_report_interval,
+};
 use crate::id::{HostId, RegionId, ServiceId};
 use crate::platform::record;
 use crate::platform::store::{Error, Kind, Session};
@@ -51,6 +53,18 @@
                 continue;
             }
         };
+        let pulse = pulse::receive(&gateway, Instant::now(), sender, &buffer[..length]);
+        if let Some(pulse) = pulse {
+            let watermarks = pulse.watermarks();
+            request_resyncs(
+                &gateway,
+                &mut lag,
+                &pulse.host,
+                &watermarks,
+                &resync_senders,
+            );
+            continue;
+        }
         if limit::receive(&gateway, &socket, sender, &buffer[..length]).await {
             continue;
         }
@@ -122,12 +136,29 @@
         if report.ping {
             send_reports(&gateway, &socket, &[(sender, is_own_region)], false).await;
         }
-        for (kind, resync) in lag.observe(&gateway, now, &report.host, &watermarks) {
-            if let Some(resync_sender) = resync_senders.get(&kind)
-                && resync_sender.try_send(resync).is_err()
-            {
-                log::debug!("{kind:?}: a resync is already pending");
-            }
+        request_resyncs(
+            &gateway,
+            &mut lag,
+            &report.host,
+            &watermarks,
+            &resync_senders,
+        );
+    }
+}
+
+/// Has the kinds read again that stay behind what another host has read
+fn request_resyncs(
+    gateway: &Gateway,
+    lag: &mut LagMonitor,
+    host: &HostId,
+    watermarks: &BTreeMap<Kind, Watermark>,
+    resync_senders: &BTreeMap<Kind, Sender<Resync>>,
+) {
+    for (kind, resync) in lag.observe(gateway, Instant::now(), host, watermarks) {
+        if let Some(resync_sender) = resync_senders.get(&kind)
+            && resync_sender.try_send(resync).is_err()
+        {
+            log::debug!("{kind:?}: a resync is already pending");
         }
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -16,7 +16,7 @@
 
 use super::ports::Port;
 use super::{
-    Gateway, accept, bootstrap, era, holdover_sync, log as gateway_log, peers, ports, probe,
+    Gateway, accept, bootstrap, era, holdover_sync, log as gateway_log, peers, ports, probe, pulse,
     quarantine, stop, store_check, supervise, watch,
 };
 use crate::error::Error;
@@ -92,6 +92,10 @@
     run_loop(&gateway, "load reports", move |gateway| {
         peers::report_load(gateway, report_socket.clone())
     });
+    let pulse_socket = socket.clone();
+    run_loop(&gateway, "pulses", move |gateway| {
+        pulse::run(gateway, pulse_socket.clone())
+    });
     run_loop(&gateway, "pings", move |gateway| {
         peers::ping_and_report_demand(gateway, socket.clone())
     });
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -38,6 +38,8 @@
     pub memory_bytes: u64,
     /// Maximum number of open file descriptors
     pub max_descriptors: usize,
+    /// Time in which an acknowledged configuration must be in force
+    pub apply_time: Duration,
     /// Time between SIGTERM and the end of the process
     pub grace_period: Duration,
     /// How long an endpoint may receive requests after the store acknowledged that it leaves
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -35,6 +35,12 @@
 /// Minimum time before followers switch; reports of a busy host may be late
 const MIN_READER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time per host of a region over which its followers spread lists that they need at the same time
+const LIST_DELAY_PER_HOST: Duration = Duration::from_millis(5);
+
+/// Share of the time in which a change must be in force that such a delay may take
+const MAX_LIST_DELAY_SHARE: f64 = 0.1;
+
 /// Source from which a kind is read
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Source {
@@ -159,6 +165,21 @@
     min + (max - min).mul_f64(fastrand::f64())
 }
 
+/// Draws the delay after which a follower lists a kind again when all followers of a reader have to
+///
+/// Kinds of few objects are read at once: that costs the reader no more than a change of theirs.
+pub fn list_delay(gateway: &Gateway, kind: Kind) -> Duration {
+    if matches!(kind, Kind::Configuration | Kind::Evacuations) {
+        return Duration::ZERO;
+    }
+    let settings = gateway.settings.borrow();
+    let hosts = gateway.fleet.borrow().count_in_region(&settings.region) as u32;
+    let max_delay = settings.apply_time.mul_f64(MAX_LIST_DELAY_SHARE);
+    (LIST_DELAY_PER_HOST * hosts)
+        .min(max_delay)
+        .mul_f64(fastrand::f64())
+}
+
 /// Reason to read a kind again
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Resync {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -7,6 +7,7 @@
 mod log;
 mod mirror;
 mod peers;
+mod pulse;
 mod reply;
 mod source;
 mod store_gate;
--- a/src/gateway/tests/watch.rs
+++ b/src/gateway/tests/watch.rs
@@ -36,6 +36,7 @@
         weight: 1.0,
         memory_bytes: 64 << 20,
         max_descriptors: 256,
+        apply_time: Duration::from_secs(2),
         drain_time: Duration::from_secs(2),
         restore_time: Duration::from_secs(6),
         grace_period: Duration::from_secs(4),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -12,7 +12,9 @@
 
 use super::apply::{apply_event, apply_list};
 use super::origin::Origin;
-use super::source::{Resync, Source, is_replaced, relayed_watch_wait, sources, watch_wait};
+use super::source::{
+    Resync, Source, is_replaced, list_delay, relayed_watch_wait, sources, watch_wait,
+};
 use super::{Gateway, era, origin};
 use crate::fleet::Watermark;
 use crate::object::Backoff;
@@ -45,9 +47,6 @@
 /// Interval at which it checks for that list
 const HOSTS_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Time per host of a region over which its followers spread lists that they need at the same time
-const LIST_DELAY_PER_HOST: Duration = Duration::from_millis(5);
-
 /// Time after a failure at which the preferred source is tried again
 const PREFERRED_SOURCE_RETRY_DELAY: Duration = Duration::from_secs(4);
 
@@ -256,7 +255,7 @@
                 progress.position = None;
                 if !source.is_store {
                     // All followers of a reader notice at the same time.
-                    Timer::after(list_delay(&gateway)).await;
+                    Timer::after(list_delay(&gateway, kind)).await;
                 }
                 continue;
             }
@@ -458,13 +457,6 @@
     mirror.set_served(kind, source.is_store || is_reader);
 }
 
-/// Draws the delay after which a follower lists a kind again when all followers of a reader have to
-fn list_delay(gateway: &Gateway) -> Duration {
-    let region = gateway.settings.borrow().region.clone();
-    let hosts = gateway.fleet.borrow().count_in_region(&region) as u32;
-    (LIST_DELAY_PER_HOST * hosts).mul_f64(fastrand::f64())
-}
-
 fn mark_store_lost(gateway: &Gateway, kind: Kind, error: &Error) {
     if gateway
         .mirror
--- a/src/platform/node.rs
+++ b/src/platform/node.rs
@@ -103,6 +103,8 @@
 #[derive(Debug, Deserialize)]
 #[serde(default)]
 struct Bounds {
+    /// Time in which an acknowledged configuration must be in force
+    config_apply_ms: f64,
     /// Time between SIGTERM and SIGKILL
     grace_s: f64,
     /// Time after which an endpoint that leaves receives no more requests
@@ -119,6 +121,7 @@
 impl Default for Bounds {
     fn default() -> Self {
         Self {
+            config_apply_ms: 2000.0,
             grace_s: 6.0,
             drain_ms: 2000.0,
             ttl_max_s: 5.0,
@@ -172,6 +175,7 @@
         weight: bound::ratio(file.limits.cpu_share.min(file.limits.link_mbps / 100.0)),
         memory_bytes: file.limits.memory_mb << 20,
         max_descriptors: file.limits.max_fds,
+        apply_time: seconds(file.bounds.config_apply_ms / 1000.0)?,
         grace_period: seconds(file.bounds.grace_s)?,
         drain_time: seconds(file.bounds.drain_ms / 1000.0)?,
         restore_time: seconds(file.heartbeat_ms / 1000.0 * RESTORE_HEARTBEATS)?,
