Tests: refusals in chunks, with trailers or ended by the connection

An earlier refusal whose body is in chunks, has trailers that name another attempt, or ends with the connection, written before the answer of a once-only request; the own refusals are framed alike.

--- a/tests/odd_answers.rs
+++ b/tests/odd_answers.rs
@@ -34,6 +34,9 @@
     /// Writes the first part of the refusal when the next request has arrived, right before its
     /// answer; without the attempt id it ends at the statement that the request did not run
     CutCopyBefore(Id),
+    /// Ends its refusals in another way than by a length, and writes the refusal of an earlier request
+    /// before an answer
+    FramedCopyBefore(Framing),
     /// Answers 421 after it ran the request
     Misdirected { names_itself: bool },
 }
@@ -45,6 +48,20 @@
     Missing,
 }
 
+/// How the body of a refusal ends
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    Chunks,
+    ChunksAndTrailers,
+    Close,
+}
+
+const FRAMED_COPIES: [Fault; 3] = [
+    Fault::FramedCopyBefore(Framing::Chunks),
+    Fault::FramedCopyBefore(Framing::ChunksAndTrailers),
+    Fault::FramedCopyBefore(Framing::Close),
+];
+
 const FAULTS: [Fault; 8] = [
     Fault::CopyBehind,
     Fault::CopyBefore,
@@ -79,6 +96,19 @@
     format!("HTTP/1.1 503 -\r\nContent-Length: 2\r\n{id}Not-Executed: 1\r\n\r\nno")
 }
 
+/// Returns a refusal whose body ends as stated
+fn framed_refusal(id: &str, framing: Framing) -> String {
+    let (header, body) = match framing {
+        Framing::Chunks => ("Transfer-Encoding: chunked\r\n", "2\r\nno\r\n0\r\n\r\n"),
+        Framing::ChunksAndTrailers => (
+            "Transfer-Encoding: chunked\r\nTrailer: Attempt-Id\r\n",
+            "2\r\nno\r\n0\r\nAttempt-Id: another\r\nNot-Executed: 1\r\n\r\n",
+        ),
+        Framing::Close => ("Connection: close\r\n", "no"),
+    };
+    format!("HTTP/1.1 503 -\r\n{header}Attempt-Id: {id}\r\nNot-Executed: 1\r\n\r\n{body}")
+}
+
 /// Returns the first part of a refusal's copy, which ends at another byte for each answer
 fn cut_refusal(id: Id, refused: &str, number: usize) -> String {
     let statement = "HTTP/1.1 503 -\r\nServer: odd\r\nNot-Executed: 1";
@@ -114,6 +144,14 @@
     let success = format!("{head}{}", "x".repeat(BODY_BYTES));
     let is_odd = number % 3 == 0;
     let text = match fault {
+        Fault::FramedCopyBefore(framing) if number % 10 == 1 => {
+            let text = framed_refusal(&refused, framing);
+            connection.write(text.as_bytes(), deadline).await.ok()?;
+            return (framing != Framing::Close).then_some(connection);
+        }
+        Fault::FramedCopyBefore(framing) if is_odd => {
+            format!("{}{success}", framed_refusal(&refused, framing))
+        }
         _ if number % 10 == 1 => refusal(&refused),
         Fault::CopyBehind if is_odd => format!("{success}{}", refusal(&refused)),
         Fault::CopyBefore if is_odd => format!("{}{success}", refusal(&refused)),
@@ -178,7 +216,12 @@
     let host = SocketAddr::new(site.gateways[0].ip, 8161);
     let mut broken = Vec::new();
     let mut statuses = BTreeMap::new();
-    for number in 0..REQUESTS {
+    let requests = match fault {
+        // What comes behind such a copy cannot be told from its body, so each caller waits.
+        Fault::FramedCopyBefore(Framing::Close) => REQUESTS / 4,
+        _ => REQUESTS,
+    };
+    for number in 0..requests {
         let id = format!("once-{number}");
         let result = send(host, &id).await;
         *statuses
@@ -216,6 +259,12 @@
     site::play_all(MISDIRECTIONS.into_iter().map(play));
 }
 
+// A refusal without a stated length must not count as the answer to a later request.
+#[test]
+fn framed_refusal_before_an_answer_is_believed() {
+    site::play_all(FRAMED_COPIES.into_iter().map(play));
+}
+
 // A request that an endpoint ran must not count as refused, nor a cut answer as whole.
 #[test]
 fn repeated_refusal_or_cut_head_is_taken_for_an_answer() {
