State whether a host reads the store; use it in the test of silent readers

The test took the readers from the log's `source` lines. A host says so only when the new source has answered, which is up to ten seconds after it was chosen, and at most 60 such lines a second are logged. `reads_store` of `/status` and of `pier_gate_state` is what the host itself decides by.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -256,6 +256,15 @@
     vec![
         ("configuration_version", gateway.configuration_version()),
         ("store_era", gateway.mirror.borrow().era()),
+        (
+            "reads_store",
+            u64::from(
+                gateway
+                    .mirror
+                    .borrow()
+                    .reads_store(Instant::now(), Kind::Configuration),
+            ),
+        ),
         ("held_objects", gateway.holdover.borrow().len() as u64),
         (
             "configuration_age_ms",
--- a/tests/silent_readers.rs
+++ b/tests/silent_readers.rs
@@ -12,6 +12,7 @@
 use smol::Timer;
 
 use site::options::Options;
+use site::status::reads_store;
 use site::{REGIONS, Site, get_status};
 
 /// Time in which a configuration is in force at a host in touch, on the small and on the large sites
@@ -55,25 +56,24 @@
     changes: usize,
 }
 
-/// Returns whether a host takes the configuration from the store, by the last line that says so
-fn reads_store(site: &Site, host: usize) -> bool {
-    let log = site.read_log(host);
-    let mut lines = log.lines().rev();
-    let is_source = |line: &&str| line.contains("\"source\"") && line.contains("\"config\"");
-    let last = lines.find(is_source);
-    last.is_some_and(|line| line.contains("\"source\":\"store\""))
-}
-
 /// Waits until only the readers of the first region read the store; returns them and the others
 async fn settled(site: &Site) -> (Vec<usize>, Vec<usize>) {
     let start = Instant::now();
-    let hosts = (0..site.gateways.len()).filter(|host| site.gateways[*host].region == REGIONS[0]);
+    let hosts: Vec<usize> = (0..site.gateways.len())
+        .filter(|host| site.gateways[*host].region == REGIONS[0])
+        .collect();
     let mut previous = Vec::new();
     let mut unchanged_since = start;
     loop {
         Timer::after(Duration::from_millis(500)).await;
-        let (readers, others): (Vec<usize>, Vec<usize>) =
-            hosts.clone().partition(|host| reads_store(site, *host));
+        let mut readers = Vec::new();
+        let mut others = Vec::new();
+        for host in &hosts {
+            match reads_store(site, *host).await {
+                true => readers.push(*host),
+                false => others.push(*host),
+            }
+        }
         if readers != previous {
             unchanged_since = Instant::now();
             previous.clone_from(&readers);
