A follower that is behind its reader reads the changes, not everything

Cause: while endpoints are replaced, one reader of a region is ahead of the other by more than the tolerated 0.35 s, since readers read in batches of 0.4 s. All followers of the slower one hear that from the same report, and each lists the kind at the other reader: 990 endpoints for some 32 hosts at once. That takes it 0.8 to 0.9 s, so now the first one is ahead, and the followers change again. A list that was under way at one reader was abandoned for the other one, so some hosts got nothing for 2 s. The work of a change grew with hosts times endpoints.

Change: a follower that is behind asks the reader for the changes since the newest write that it knows (not since its position, which may be past a change that was never told), on a new connection. Only if it is still behind after a second, it lists the kind. A list at a reader is abandoned for the store only; changes are read after it.

Why it works: an answer holds what is missing, a few objects, so that readers are not slowed down by being ahead. The list stays as the second step, for removals that a watch skipped.

The test of the right source for a host that is behind now expects the changes after half a second and the list after five; before, it expected the list after one second and nothing after five. The new tests could not be built before.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -295,6 +295,21 @@
         }
     }
 
+    /// Returns the position from which another host tells what this one lacks, `None` if the kind was
+    /// not read yet
+    ///
+    /// A watch at the store may have gone past a change that it did not tell, so the position is that of
+    /// the newest known write, or of the last list.
+    pub fn resume_position(&self, kind: Kind) -> Option<Position> {
+        let position = self.position(kind);
+        let written = self.written_revisions.get(&kind).copied();
+        let known = written.max(self.listed_revisions.get(&kind).copied());
+        self.was_read(kind).then_some(Position {
+            revision: position.revision.min(known.unwrap_or(0)),
+            ..position
+        })
+    }
+
     /// Returns the latest era of the store that any kind was read in
     pub fn era(&self) -> Era {
         self.eras.values().copied().max().unwrap_or(0)
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -35,6 +35,10 @@
 /// Minimum time before followers switch; reports of a busy host may be late
 const MIN_READER_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// How long a follower may stay behind its reader before it lists the kind: the changes are read within
+/// this time unless that does not bring what is missing
+const LIST_LAG_TOLERANCE: Duration = Duration::from_millis(1000);
+
 /// Time per host of a region over which its followers spread lists that they need at the same time
 const LIST_DELAY_PER_HOST: Duration = Duration::from_millis(5);
 
@@ -183,17 +187,33 @@
 /// Reason to read a kind again
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Resync {
-    /// The reader at this address has newer revisions, so the connection to it may be lost
+    /// The reader at this address has newer revisions: read what changed on a new connection, as the
+    /// one to it may be lost
+    Changes(SocketAddr),
+    /// Its changes did not bring what it has: list the kind there
     Reader(SocketAddr),
     /// Other hosts have newer revisions than the source
     Store,
 }
 
+impl Resync {
+    /// Returns the index of the source to read again
+    pub fn index_in(self, sources: &[Source]) -> usize {
+        let is_wanted = |source: &Source| match self {
+            Self::Changes(address) | Self::Reader(address) => source.address == address,
+            Self::Store => source.is_store,
+        };
+        sources.iter().position(is_wanted).unwrap_or(0)
+    }
+}
+
 /// Detects kinds whose local state stays behind that of other hosts
 #[derive(Debug, Default)]
 pub struct LagMonitor {
     /// Behind what the source itself has read
     behind_source: LagDetector<Kind>,
+    /// Still behind it, though the changes were read
+    still_behind_source: LagDetector<Kind>,
     /// Behind hosts that this one does not follow
     behind_others: LagDetector<Kind>,
 }
@@ -202,7 +222,9 @@
     /// Returns the kinds to read again after a report of another host, and from where
     ///
     /// A host that reads the store compares itself with all others. A follower that is behind its
-    /// reader reads from it again. A follower that is behind other hosts only leaves the time to the
+    /// reader reads the changes again, and lists the kind only if that does not help: all followers
+    /// are behind at the same time when one reader is slower than the other, and lists of all of them
+    /// would slow down the other one. A follower that is behind other hosts only leaves the time to the
     /// reader, which reads the store for all its followers, and reads the store itself after that.
     pub fn observe(
         &mut self,
@@ -232,26 +254,33 @@
             .find(|source| !source.is_store && Some(source.address) == control);
         let mut resyncs = Vec::new();
         for (kind, remote) in watermarks {
+            let mut changes_resync = None;
             let local = mirror.watermark_against(*kind, *remote);
             let begins_era = remote.era > local.era && !mirror.reads_store(now, *kind);
             let (detector, tolerance, resync) = match followed {
                 _ if is_reader && !begins_era => {
                     (&mut self.behind_source, LAG_TOLERANCE, Resync::Store)
                 }
-                Some(source) if !is_reader && !begins_era => (
-                    &mut self.behind_source,
-                    LAG_TOLERANCE,
-                    Resync::Reader(source.address),
-                ),
+                Some(source) if !is_reader && !begins_era => {
+                    let detector = &mut self.behind_source;
+                    if detector.observe(now, *kind, local, *remote, LAG_TOLERANCE) {
+                        changes_resync = Some(Resync::Changes(source.address));
+                    }
+                    (
+                        &mut self.still_behind_source,
+                        LIST_LAG_TOLERANCE,
+                        Resync::Reader(source.address),
+                    )
+                }
                 _ => (
                     &mut self.behind_others,
                     gateway.era_lag_tolerance,
                     Resync::Store,
                 ),
             };
-            if detector.observe(now, *kind, local, *remote, tolerance) {
-                resyncs.push((*kind, resync));
-            }
+            let is_late = detector.observe(now, *kind, local, *remote, tolerance);
+            let resync = is_late.then_some(resync).or(changes_resync);
+            resyncs.extend(resync.map(|resync| (*kind, resync)));
         }
         resyncs
     }
--- a/src/gateway/tests/mirror.rs
+++ b/src/gateway/tests/mirror.rs
@@ -222,3 +222,47 @@
         "hosts that are behind the new era do not notice"
     );
 }
+
+/// Guards against a host that asks from a position beyond a change that it was not told
+#[test]
+fn missed_changes_are_asked_for_from_the_newest_known_write() {
+    struct Case {
+        name: &'static str,
+        /// Revisions up to which the watch went on, with the revision of the object that it told
+        told: &'static [(u64, Option<u64>)],
+        expected: u64,
+    }
+    let cases = [
+        Case {
+            name: "nothing since the list",
+            told: &[],
+            expected: 10,
+        },
+        Case {
+            name: "a change",
+            told: &[(12, Some(12))],
+            expected: 12,
+        },
+        Case {
+            name: "the watch went past changes without telling them",
+            told: &[(12, Some(12)), (18, None)],
+            expected: 12,
+        },
+        Case {
+            name: "the same right after the list",
+            told: &[(18, None)],
+            expected: 10,
+        },
+    ];
+    assert_eq!(Mirror::default().resume_position(KIND), None);
+    for case in cases {
+        let mut mirror = Mirror::default();
+        mirror.replace(Instant::now(), KIND, Vec::new(), at(10));
+        for (revision, told) in case.told {
+            let events: Vec<Event> = told.iter().map(|written| put("a", *written)).collect();
+            mirror.apply_changes(KIND, &events, *revision);
+        }
+        let position = mirror.resume_position(KIND);
+        assert_eq!(position, Some(at(case.expected)), "{}", case.name);
+    }
+}
--- a/src/gateway/tests/source.rs
+++ b/src/gateway/tests/source.rs
@@ -211,7 +211,7 @@
         name: &'static str,
         own_is_reader: bool,
         reporter_is_reader: bool,
-        /// What the host does after a second, and after five
+        /// What the host does after half a second, and after five
         expected: [Option<&'static str>; 2],
     }
     let cases = [
@@ -219,7 +219,7 @@
             name: "a follower behind its reader",
             own_is_reader: false,
             reporter_is_reader: true,
-            expected: [Some("reader"), None],
+            expected: [Some("changes"), Some("reader")],
         },
         Case {
             name: "a follower behind another follower",
@@ -256,15 +256,16 @@
         let host = name(reporter).as_str().into();
         let start = Instant::now();
         let mut observe = |seconds| {
-            let now = start + Duration::from_secs(seconds);
+            let now = start + Duration::from_secs_f64(seconds);
             monitor.observe(&gateway, now, &host, &watermarks)
         };
-        assert!(observe(0).is_empty(), "{}", case.name);
-        for (seconds, expected) in [1, 5].into_iter().zip(case.expected) {
+        assert!(observe(0.0).is_empty(), "{}", case.name);
+        for (seconds, expected) in [0.5, 5.0].into_iter().zip(case.expected) {
             let resyncs = observe(seconds);
             let found = resyncs.first().map(|(_, resync)| match resync {
+                Resync::Changes(address) if *address == control_address(reporter) => "changes",
                 Resync::Reader(address) if *address == control_address(reporter) => "reader",
-                Resync::Reader(_) => "another host",
+                Resync::Changes(_) | Resync::Reader(_) => "another host",
                 Resync::Store => "store",
             });
             assert_eq!(found, expected, "{}, after {seconds} s", case.name);
--- a/src/gateway/tests/watch.rs
+++ b/src/gateway/tests/watch.rs
@@ -90,6 +90,96 @@
     }));
 }
 
+/// Returns a host that follows others, whose control addresses are all the same
+fn follower(
+    executor: &Rc<LocalExecutor<'static>>,
+    store: SocketAddr,
+    readers: SocketAddr,
+) -> Rc<Gateway> {
+    let member = |host: &str| Member {
+        host: host.into(),
+        zone: "north-a".into(),
+        region: "north".into(),
+        caller: store,
+        peer: store,
+        control: Some(readers),
+        incarnation: 1,
+        weight: 1.0,
+        revision: 1,
+    };
+    let hosts: Vec<Member> = (0..8).map(|i| member(&format!("h{i}"))).collect();
+    let now = Instant::now();
+    let gateway = hosts.iter().find_map(|own| {
+        let gateway = Gateway::new(settings(&own.host, store), executor.clone());
+        let mut fleet = gateway.fleet.borrow_mut();
+        fleet.replace(Instant::now(), hosts.clone());
+        hosts
+            .iter()
+            .for_each(|host| fleet.record_report(now, &report(&host.host)));
+        let readers = fleet.readers(now, "north", Duration::from_secs(1));
+        let is_reader = readers.iter().any(|reader| reader.host == own.host);
+        drop(readers);
+        drop(fleet);
+        (!is_reader).then(|| Rc::new(gateway))
+    });
+    gateway.expect("no host is a follower")
+}
+
+/// Guards against followers that all list everything at one reader as soon as the other is slower
+#[test]
+fn follower_that_is_behind_lists_everything_again() {
+    struct Case {
+        name: &'static str,
+        resync: fn(SocketAddr) -> Resync,
+        /// Calls to the reader until it waits for changes again, with 50 objects on a page
+        calls: u64,
+    }
+    let cases = [
+        Case {
+            name: "the changes are read",
+            resync: Resync::Changes,
+            calls: 1,
+        },
+        Case {
+            name: "the changes did not help",
+            resync: Resync::Reader,
+            calls: 4,
+        },
+    ];
+    for case in cases {
+        let executor = Rc::new(LocalExecutor::new());
+        smol::block_on(executor.clone().run(async {
+            let reader = Store::new();
+            let address = reader.start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+            for number in 0..120 {
+                reader.write(Kind::Evacuations.name(), &format!("z{number}"), json!({}));
+            }
+            let unused_address = "127.0.0.1:0".parse().unwrap();
+            let gateway = follower(&executor, unused_address, address);
+            let (resync, resync_requested) = bounded(1);
+            let _following = executor.spawn(watch::follow(
+                gateway.clone(),
+                Kind::Evacuations,
+                resync_requested,
+            ));
+            while !gateway.mirror.borrow().was_read(Kind::Evacuations) {
+                Timer::after(Duration::from_millis(5)).await;
+            }
+            Timer::after(Duration::from_millis(100)).await;
+            let calls = reader.call_count();
+            resync.try_send((case.resync)(address)).unwrap();
+            Timer::after(Duration::from_millis(300)).await;
+            assert_eq!(reader.call_count() - calls, case.calls, "{}", case.name);
+            let newest = reader.write(Kind::Evacuations.name(), "new", json!({}));
+            let start = Instant::now();
+            while gateway.mirror.borrow().position(Kind::Evacuations).revision < newest {
+                assert!(start.elapsed() < Duration::from_secs(5), "{}", case.name);
+                Timer::after(Duration::from_millis(5)).await;
+            }
+        }));
+    }
+}
+
 /// Guards against a starting host that waits for readers which are too busy to answer: all its
 /// sources accept connections but send no answer, and only a resync makes it try the store.
 #[test]
@@ -99,33 +189,8 @@
         let store = Store::new();
         let address = store.start("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let silent_listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let member = |host: &str| Member {
-            host: host.into(),
-            zone: "north-a".into(),
-            region: "north".into(),
-            caller: address,
-            peer: address,
-            control: Some(silent_listener.local_addr().unwrap()),
-            incarnation: 1,
-            weight: 1.0,
-            revision: 1,
-        };
-        let hosts: Vec<Member> = (0..8).map(|i| member(&format!("h{i}"))).collect();
-        let now = Instant::now();
-        let gateway = hosts.iter().find_map(|own| {
-            let gateway = Gateway::new(settings(&own.host, address), executor.clone());
-            let mut fleet = gateway.fleet.borrow_mut();
-            fleet.replace(Instant::now(), hosts.clone());
-            hosts
-                .iter()
-                .for_each(|host| fleet.record_report(now, &report(&host.host)));
-            let readers = fleet.readers(now, "north", Duration::from_secs(1));
-            let is_reader = readers.iter().any(|reader| reader.host == own.host);
-            drop(readers);
-            drop(fleet);
-            (!is_reader).then(|| Rc::new(gateway))
-        });
-        let gateway = gateway.expect("no host is a follower");
+        let readers = silent_listener.local_addr().unwrap();
+        let gateway = follower(&executor, address, readers);
         let (resync, resync_requested) = bounded(1);
         let _following = executor.spawn(watch::follow(
             gateway.clone(),
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -3,6 +3,7 @@
 //! A watch on a stalled connection shows no changes until it times out, so reports of other hosts
 //! carry their revisions; a host that is behind opens its watch again.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -161,20 +162,12 @@
     SourceReplaced,
 }
 
-/// Returns the index of the source to read again
-fn index_of(sources: &[Source], resync: Resync) -> usize {
-    let is_wanted = |source: &Source| match resync {
-        Resync::Reader(address) => source.address == address,
-        Resync::Store => source.is_store,
-    };
-    sources.iter().position(is_wanted).unwrap_or(0)
-}
-
 /// Follows one kind forever; a message on `resync` makes it list the kind again
 pub async fn follow(gateway: Rc<Gateway>, kind: Kind, resync: Receiver<Resync>) {
     let mut session = Session::new(gateway.settings.borrow().store_address);
     let mut backoff = Backoff::new(BACKOFF_RANGE.0, BACKOFF_RANGE.1);
     let mut progress = Progress::default();
+    let deferred = Cell::new(None);
     if kind != Kind::Hosts {
         wait_for_hosts(&gateway).await;
     }
@@ -212,19 +205,26 @@
             if source.is_store && is_listing {
                 // The store's list contains the newer revisions, but may be slow on a busy link.
                 // Restarting it at each change would never finish, so the message waits until the
-                // list is complete. A list from a reader may be abandoned, as the reader may be too
-                // busy to answer.
+                // list is complete. A list from a reader may be abandoned for the store, as the reader
+                // may be too busy to answer.
                 return std::future::pending().await;
             }
+            if !is_listing && let Some(resync) = deferred.take() {
+                return Step::Resync(resync);
+            }
             loop {
                 // The sender is never dropped while the process runs.
                 let Ok(resync) = resync.recv().await else {
                     continue;
                 };
-                if !is_listing || resync != Resync::Reader(source.address) {
-                    log::info!("{kind:?}: other hosts have newer revisions: {resync:?}");
-                    break Step::Resync(resync);
+                if let Resync::Changes(address) | Resync::Reader(address) = resync
+                    && is_listing
+                {
+                    deferred.set(Some(Resync::Changes(address)));
+                    continue;
                 }
+                log::info!("{kind:?}: other hosts have newer revisions: {resync:?}");
+                break Step::Resync(resync);
             }
         };
         let source_replaced = source_replaced(&gateway, source, is_reader);
@@ -281,13 +281,18 @@
                 continue;
             }
             Step::Resync(resync) => {
+                let sources = self::sources(&gateway);
                 // A reader that the store refuses reads again from the host that it follows.
                 if !(resync == Resync::Store && gateway.contact.get().is_lost()) {
                     progress.pinned = None;
-                    progress.source_index = index_of(&self::sources(&gateway), resync);
+                    progress.source_index = resync.index_in(&sources);
                 }
                 progress.last_failure = Some(Instant::now());
-                progress.position = None;
+                progress.position = match resync {
+                    Resync::Changes(_) => gateway.mirror.borrow().resume_position(kind),
+                    Resync::Reader(_) | Resync::Store => None,
+                };
+                progress.forget_position_at(sources[progress.source_index % sources.len()]);
                 session.disconnect();
                 continue;
             }
