Call the signs of life of readers heartbeats; explain three lines

From reading the diff as a newcomer: a pulse was no term of the field, and heartbeat is the word that the rest of the code uses. No logic is changed.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -203,7 +203,7 @@
         self.last_heard.remove(host);
         self.watched_since.remove(host);
         self.unresponsive.remove(host);
-        self.forget_pulses(host);
+        self.forget_heartbeats(host);
         let Some(member) = self.members.remove(host) else {
             return false;
         };
--- a/src/fleet/readers.rs
+++ b/src/fleet/readers.rs
@@ -27,8 +27,8 @@
 /// pass through two other hosts
 const STORE_READER_TTL: Duration = Duration::from_secs(3);
 
-/// Number of timeouts after which a pulse says nothing any more, as the host was no reader lately
-const PULSE_TTL_TIMEOUTS: u32 = 4;
+/// Number of timeouts after which a heartbeat is forgotten: the host has not been a reader lately
+const HEARTBEAT_TTL_TIMEOUTS: u32 = 4;
 
 /// What is known of the hosts as readers
 #[derive(Debug, Default)]
@@ -37,13 +37,13 @@
     failed: BTreeMap<HostId, Instant>,
     /// Hosts that read the store, and when they last did
     reading: BTreeMap<HostId, Instant>,
-    /// Hosts that send pulses, as others follow them
-    pulses: BTreeMap<HostId, Pulse>,
+    /// Hosts that send heartbeats, as others follow them
+    heartbeats: BTreeMap<HostId, Heartbeat>,
 }
 
-/// Last pulse of a host
+/// Last heartbeat of a host
 #[derive(Clone, Copy, Debug)]
-struct Pulse {
+struct Heartbeat {
     received_at: Instant,
     /// How long the host may be silent after it
     timeout: Duration,
@@ -57,7 +57,7 @@
     /// Returns the hosts of a region that read the store directly; the others replicate from them
     ///
     /// A host without a report within `timeout` may be partitioned and is excluded, and so is one whose
-    /// pulses stopped. The readers are in different zones if there are candidates. A weak host is
+    /// heartbeats stopped. The readers are in different zones if there are candidates. A weak host is
     /// chosen only if there are not enough strong ones, and one that cannot read the store only if no
     /// other host can: when many hosts switch to it at once, as
     /// after the failure of the other reader, the lists that it sends delay its own reports, and it
@@ -145,30 +145,30 @@
         }
     }
 
-    /// Records a pulse of a host, which gives a sign of life within `timeout` after each
-    pub fn record_pulse(&mut self, now: Instant, host: &HostId, timeout: Duration) {
+    /// Records a heartbeat of a host, which gives a sign of life within `timeout` after each
+    pub fn record_heartbeat(&mut self, now: Instant, host: &HostId, timeout: Duration) {
         self.last_heard.insert(host.clone(), now);
         self.unresponsive.remove(host);
-        let pulse = Pulse {
+        let heartbeat = Heartbeat {
             received_at: now,
             timeout,
         };
-        self.readers.pulses.insert(host.clone(), pulse);
+        self.readers.heartbeats.insert(host.clone(), heartbeat);
     }
 
-    /// Records that a host sends no more pulses
-    pub fn forget_pulses(&mut self, host: &HostId) {
-        self.readers.pulses.remove(host);
+    /// Records that a host sends no more heartbeats
+    pub fn forget_heartbeats(&mut self, host: &HostId) {
+        self.readers.heartbeats.remove(host);
     }
 
-    /// Returns whether a host that sent pulses has been silent for too long
+    /// Returns whether a host that sent heartbeats has been silent for too long
     pub fn is_overdue(&self, now: Instant, host: &HostId) -> bool {
-        let Some(pulse) = self.readers.pulses.get(host) else {
+        let Some(heartbeat) = self.readers.heartbeats.get(host) else {
             return false;
         };
-        let is_recent = now < pulse.received_at + pulse.timeout * PULSE_TTL_TIMEOUTS;
+        let is_recent = now < heartbeat.received_at + heartbeat.timeout * HEARTBEAT_TTL_TIMEOUTS;
         let silence = self.silence(now, host);
-        is_recent && silence.is_some_and(|silence| silence >= pulse.timeout)
+        is_recent && silence.is_some_and(|silence| silence >= heartbeat.timeout)
     }
 
     /// Records that a host does not read the store any more
--- a/src/fleet/readers/tests.rs
+++ b/src/fleet/readers/tests.rs
@@ -5,8 +5,8 @@
 use super::*;
 use crate::fleet::{Report, load_report_interval};
 
-/// Timeout that the hosts state with their pulses
-const PULSE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Timeout that the hosts state with their heartbeats
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(900);
 
 fn member(number: u16, zone: &str, weight: f64) -> Member {
     let address = SocketAddr::from(([127, 0, 0, 1], 80));
@@ -45,9 +45,9 @@
     struct Case {
         name: &'static str,
         hosts: u16,
-        /// Whether the readers said with their last pulse that they are followed no more
+        /// Whether the readers said with their last heartbeat that they are followed no more
         says_so: bool,
-        /// Whether the readers are left when the timeout of their pulses has passed
+        /// Whether the readers are left when the timeout of their heartbeats has passed
         is_left: bool,
     }
     let case = |name, hosts, says_so, is_left| Case {
@@ -61,7 +61,7 @@
         case("a large site", 65, false, true),
         case("a region in two years", 104, false, true),
         case("a larger one", 400, false, true),
-        case("no pulses are due any more", 65, true, false),
+        case("no heartbeats are due any more", 65, true, false),
     ];
     for case in cases {
         let start = Instant::now();
@@ -73,18 +73,18 @@
         let first = names(&fleet.readers(start, "north", report_timeout));
         for host in &first {
             fleet.record_store_reader(start, host);
-            fleet.record_pulse(start, host, PULSE_TIMEOUT);
+            fleet.record_heartbeat(start, host, HEARTBEAT_TIMEOUT);
             if case.says_so {
-                fleet.forget_pulses(host);
+                fleet.forget_heartbeats(host);
             }
         }
-        let before = start + PULSE_TIMEOUT - Duration::from_millis(1);
+        let before = start + HEARTBEAT_TIMEOUT - Duration::from_millis(1);
         report_all(&mut fleet, before, &first);
-        if report_timeout > PULSE_TIMEOUT {
+        if report_timeout > HEARTBEAT_TIMEOUT {
             let readers = names(&fleet.readers(before, "north", report_timeout));
             assert_eq!(readers, first, "{}: before the timeout", case.name);
         }
-        let after = start + PULSE_TIMEOUT;
+        let after = start + HEARTBEAT_TIMEOUT;
         let readers = names(&fleet.readers(after, "north", report_timeout));
         assert_eq!(readers.len(), READERS_PER_REGION, "{}", case.name);
         let is_left = readers.iter().all(|host| !first.contains(host));
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -12,7 +12,7 @@
 
 use super::datagram::{Message, decode, encode};
 use super::source::{LagMonitor, Resync};
-use super::{Gateway, holdover_sync, limit, pulse, quarantine};
+use super::{Gateway, heartbeat, holdover_sync, limit, quarantine};
 use crate::fleet::{
     Member, PING_INTERVAL, Report, SMALL_FLEET_HOSTS, Watermark, load_report_interval,
 };
@@ -53,13 +53,13 @@
                 continue;
             }
         };
-        let pulse = pulse::receive(&gateway, Instant::now(), sender, &buffer[..length]);
-        if let Some(pulse) = pulse {
-            let watermarks = pulse.watermarks();
+        let heartbeat = heartbeat::receive(&gateway, Instant::now(), sender, &buffer[..length]);
+        if let Some(heartbeat) = heartbeat {
+            let watermarks = heartbeat.watermarks();
             request_resyncs(
                 &gateway,
                 &mut lag,
-                &pulse.host,
+                &heartbeat.host,
                 &watermarks,
                 &resync_senders,
             );
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -16,8 +16,8 @@
 
 use super::ports::Port;
 use super::{
-    Gateway, accept, bootstrap, era, holdover_sync, log as gateway_log, peers, ports, probe, pulse,
-    quarantine, stop, store_check, supervise, watch,
+    Gateway, accept, bootstrap, era, heartbeat, holdover_sync, log as gateway_log, peers, ports,
+    probe, quarantine, stop, store_check, supervise, watch,
 };
 use crate::error::Error;
 use crate::platform::node;
@@ -92,9 +92,9 @@
     run_loop(&gateway, "load reports", move |gateway| {
         peers::report_load(gateway, report_socket.clone())
     });
-    let pulse_socket = socket.clone();
-    run_loop(&gateway, "pulses", move |gateway| {
-        pulse::run(gateway, pulse_socket.clone())
+    let heartbeat_socket = socket.clone();
+    run_loop(&gateway, "heartbeats", move |gateway| {
+        heartbeat::run(gateway, heartbeat_socket.clone())
     });
     run_loop(&gateway, "pings", move |gateway| {
         peers::ping_and_report_demand(gateway, socket.clone())
--- a/src/gateway/source.rs
+++ b/src/gateway/source.rs
@@ -35,8 +35,8 @@
 /// Minimum time before followers switch; reports of a busy host may be late
 const MIN_READER_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// How long a follower may stay behind its reader before it lists the kind: the changes are read within
-/// this time unless that does not bring what is missing
+/// How long a follower may stay behind its reader before it lists the kind; reading the changes takes
+/// less, unless they lack something
 const LIST_LAG_TOLERANCE: Duration = Duration::from_millis(1000);
 
 /// Time per host of a region over which its followers spread lists that they need at the same time
--- a/src/gateway/tests/pulse.rs
+++ b/src/gateway/tests/heartbeat.rs
@@ -1,22 +1,22 @@
-//! Encoding of pulses.
+//! Encoding of heartbeats.
 
 use std::collections::BTreeMap;
 
 use crate::fleet::Watermark;
-use crate::gateway::pulse::Pulse;
+use crate::gateway::heartbeat::Heartbeat;
 use crate::platform::store::Kind;
 
 #[test]
-fn pulse_tells_what_its_sender_has_read() {
+fn heartbeat_tells_what_its_sender_has_read() {
     let read = BTreeMap::from([
         (Kind::Configuration, Watermark::new(7, 1).with_era(3)),
         (Kind::Endpoints, Watermark::new(9, 990)),
         (Kind::Hosts, Watermark::new(9, 195)),
     ]);
     for is_followed in [true, false] {
-        let pulse = Pulse::new("edge-a-1".into(), is_followed, &read);
-        let decoded = Pulse::decode(&pulse.encode()).expect("a pulse is decoded");
-        assert_eq!(decoded, pulse);
+        let heartbeat = Heartbeat::new("edge-a-1".into(), is_followed, &read);
+        let decoded = Heartbeat::decode(&heartbeat.encode()).expect("a heartbeat is decoded");
+        assert_eq!(decoded, heartbeat);
         let mut expected = read.clone();
         expected.remove(&Kind::Hosts);
         assert_eq!(decoded.watermarks(), expected);
@@ -24,12 +24,12 @@
 }
 
 #[test]
-fn other_datagrams_are_no_pulses() {
+fn other_datagrams_are_no_heartbeats() {
     struct Case {
         name: &'static str,
         bytes: Vec<u8>,
     }
-    let pulse = Pulse::new("edge-a-1".into(), true, &BTreeMap::new()).encode();
+    let heartbeat = Heartbeat::new("edge-a-1".into(), true, &BTreeMap::new()).encode();
     let cases = [
         Case {
             name: "empty",
@@ -37,18 +37,18 @@
         },
         Case {
             name: "cut off",
-            bytes: pulse[..pulse.len() - 1].to_vec(),
+            bytes: heartbeat[..heartbeat.len() - 1].to_vec(),
         },
         Case {
             name: "a report, which begins with the length of a name",
-            bytes: [&[8][..], &pulse[1..]].concat(),
+            bytes: [&[8][..], &heartbeat[1..]].concat(),
         },
         Case {
             name: "a question about a limit",
-            bytes: [&[0, 0][..], &pulse[2..]].concat(),
+            bytes: [&[0, 0][..], &heartbeat[2..]].concat(),
         },
     ];
     for case in cases {
-        assert_eq!(Pulse::decode(&case.bytes), None, "{}", case.name);
+        assert_eq!(Heartbeat::decode(&case.bytes), None, "{}", case.name);
     }
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -3,11 +3,11 @@
 mod cold;
 mod contact;
 mod datagram;
+mod heartbeat;
 mod holdover;
 mod log;
 mod mirror;
 mod peers;
-mod pulse;
 mod reply;
 mod source;
 mod store_gate;
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -167,6 +167,7 @@
     let mut session = Session::new(gateway.settings.borrow().store_address);
     let mut backoff = Backoff::new(BACKOFF_RANGE.0, BACKOFF_RANGE.1);
     let mut progress = Progress::default();
+    // Message that arrived during a list
     let deferred = Cell::new(None);
     if kind != Kind::Hosts {
         wait_for_hosts(&gateway).await;
