--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -5,9 +5,13 @@
 //! of an earlier answer may stand before the request's own one. Heads with a second status line are
 //! malformed already ([`crate::message::Response::parse`]).
 
+mod history;
+
 #[cfg(test)]
 mod tests;
 
+pub use history::History;
+
 /// What was seen of an exchange up to the head of an answer
 #[derive(Clone, Copy, Debug)]
 pub struct Evidence<'a> {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,7 +15,8 @@
 use super::limit::Permit;
 use super::stream::RemainingBody;
 use super::upload::{SendError, Upload};
-use super::{Gateway, advice};
+use super::{Gateway, advice, idle};
+use crate::answer::History;
 use crate::catalog::Endpoint;
 use crate::id::RouteId;
 use crate::message::{Connection, Request, Response, timeout};
@@ -263,6 +264,7 @@
         Ok(connection) => {
             gateway.metrics.count_connection();
             let mut idle_connections = gateway.idle_connections.borrow_mut();
+            let connection = idle::Connection::new(connection);
             idle_connections.put(Instant::now(), endpoint.address, connection, None);
             false
         }
@@ -307,12 +309,13 @@
     let mut broken = None;
     if let Some(idle) = idle
         && upload.can_resend()
-        && idle.is_idle().await
+        && idle.stream.is_idle().await
     {
         if !in_flight.may_send(limits) {
             return Err(Failure::Withheld);
         }
-        let sent = send(idle, in_flight, request, upload, limits, true).await;
+        record_repeated_id(gateway, &idle.history, in_flight, request);
+        let sent = send(idle, in_flight, request, upload, limits).await;
         // The endpoint may close an idle connection while the request is being sent on it.
         let error = match sent {
             Err(Failure::Broken(error)) => error,
@@ -351,6 +354,7 @@
             None => Failure::NotSent(error.to_string()),
         }
     })?;
+    let connection = idle::Connection::new(connection);
     gateway.metrics.count_connection();
     // The answer to another request may have come meanwhile.
     if !in_flight.may_send(limits) {
@@ -361,17 +365,41 @@
             None => Failure::Withheld,
         });
     }
-    send(connection, in_flight, request, upload, limits, false).await
+    send(connection, in_flight, request, upload, limits).await
+}
+
+/// Records that a request is sent on a connection that has carried its id before
+fn record_repeated_id(
+    gateway: &Gateway,
+    history: &History,
+    in_flight: &InFlight,
+    request: &Request,
+) {
+    let Some(attempt_id) = header::attempt_id(&request.headers) else {
+        return;
+    };
+    if !history.has_carried(attempt_id) {
+        return;
+    }
+    gateway.metrics.count_repeated_id();
+    let fields = [
+        ("id", attempt_id.into()),
+        ("endpoint", in_flight.endpoint.id.as_str().into()),
+    ];
+    gateway.recorder.event("repeated-id", &fields);
 }
 
 async fn send(
-    mut connection: Connection,
+    mut connection: idle::Connection,
     in_flight: &InFlight,
     request: &Request,
     upload: &mut Upload<'_>,
     limits: Limits,
-    is_reused: bool,
 ) -> Result<Received, Failure> {
+    let is_reused = connection.history.is_used();
+    connection
+        .history
+        .record(header::attempt_id(&request.headers));
     let to_failure = |error: &dyn std::fmt::Display| Failure::Broken(error.to_string());
     let now = Instant::now();
     let time_left = limits.deadline.saturating_duration_since(now);
@@ -385,7 +413,7 @@
         head.extend_from_slice(body);
     }
     let uploaded = std::cell::Cell::new(false);
-    let mut writer = connection.writer();
+    let mut writer = connection.stream.writer();
     let sending = async {
         writer
             .write_all(&head)
@@ -401,7 +429,8 @@
         uploaded.set(true);
         std::future::pending().await
     };
-    let receiving = receive::read_head(&mut connection, request, &in_flight.endpoint.id, is_reused);
+    let endpoint = &in_flight.endpoint.id;
+    let receiving = receive::read_head(&mut connection.stream, request, endpoint, is_reused);
     let answer = timeout(limits.deadline, receiving.or(sending)).await;
     let (head, verdict) = answer.unwrap_or(Err(Failure::TimedOut))?;
     Ok(Received {
--- a/src/gateway/exchange/receive.rs
+++ b/src/gateway/exchange/receive.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use super::super::stream::{self, RemainingBody};
-use super::super::{Gateway, advice};
+use super::super::{Gateway, advice, idle};
 use super::{EndpointAnswer, Failure, InFlight, Limits, Refused, pool_outcome};
 use crate::answer::Verdict;
 use crate::message::{self, Connection, Request, Response, timeout};
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub struct Received {
     /// Connection with the rest of the answer
-    pub connection: Connection,
+    pub connection: idle::Connection,
     /// Head of the answer
     pub head: Response,
     /// What it proves
@@ -88,7 +88,7 @@
         if body.len() >= MAX_BUFFERED_BYTES {
             break false;
         }
-        let piece = timeout(deadline, connection.read_body_part(&mut length)).await;
+        let piece = timeout(deadline, connection.stream.read_body_part(&mut length)).await;
         match piece.unwrap_or(Err(message::Error::Truncated)) {
             Ok(Some(piece)) => body.extend_from_slice(&piece),
             Ok(None) => break true,
@@ -118,7 +118,13 @@
             remaining: None,
         });
     }
-    let remaining = RemainingBody::new(connection, length, in_flight, stream_limits, body.len());
+    let remaining = RemainingBody::new(
+        connection.stream,
+        length,
+        in_flight,
+        stream_limits,
+        body.len(),
+    );
     Ok(EndpointAnswer {
         head,
         body,
@@ -154,9 +160,9 @@
     gateway: &Gateway,
     in_flight: &InFlight,
     head: &Response,
-    connection: Connection,
+    connection: idle::Connection,
 ) {
-    if !head.keep_alive || connection.has_unread_bytes() {
+    if !head.keep_alive || connection.stream.has_unread_bytes() || connection.history.is_full() {
         return;
     }
     let keep_alive = header::keep_alive_timeout(&head.headers);
--- a/src/gateway/idle.rs
+++ b/src/gateway/idle.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::message::Connection;
+use crate::answer::History;
+use crate::message;
 
 /// Maximum number of idle connections per endpoint; about its number of slots
 const MAX_PER_ENDPOINT: usize = 4;
@@ -15,6 +16,25 @@
 /// Time before the end of the keep-alive timeout at which a connection is no longer used
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(2);
 
+/// Connection to an endpoint
+#[derive(Debug)]
+pub struct Connection {
+    /// Open connection without unread bytes
+    pub stream: message::Connection,
+    /// What it has carried
+    pub history: History,
+}
+
+impl Connection {
+    /// Creates a connection that has carried nothing
+    pub fn new(stream: message::Connection) -> Self {
+        Self {
+            stream,
+            history: History::new(),
+        }
+    }
+}
+
 /// Idle connections by address, oldest first
 #[derive(Debug, Default)]
 pub struct Connections(BTreeMap<SocketAddr, VecDeque<IdleConnection>>);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -32,6 +32,7 @@
     store_checks: Counter<u64>,
     crashes: Counter<u64>,
     refused: Counter<u64>,
+    repeated_ids: Counter<u64>,
     broken_off: Counter<u64>,
     new_eras: Counter<u64>,
     panics: Counter<u64>,
@@ -80,6 +81,10 @@
                 "pier_gate_refused_attempts",
                 "Attempts that endpoints stated not to have run, by status and connection",
             ),
+            repeated_ids: counter(
+                "pier_gate_repeated_ids",
+                "Attempts for which a kept connection had carried their id before",
+            ),
             broken_off: counter(
                 "pier_gate_answers_broken_off",
                 "Answers that were broken off because they exceeded a limit",
@@ -151,6 +156,11 @@
         self.refused.add(1, &labels);
     }
 
+    /// Counts a request whose id its connection had carried before
+    pub fn count_repeated_id(&self) {
+        self.repeated_ids.add(1, &[]);
+    }
+
     /// Counts an answer that was broken off because it exceeded a limit
     pub fn count_broken_off(&self) {
         self.broken_off.add(1, &[]);
