Send an attempt id once on a connection, and nothing after a refusal

What callers saw: a once-only request was told 503 after it ran (REFUSED), or ran twice (TWICE), when it was sent again under its id after a refusal.

Cause: an answer that states the request's id counted as its own on any connection. With a copy of an earlier refusal of the same request that is not so: a kept connection took the request a second time, and the copy was believed.

Change: an answer counts as the request's own only if it states its id and the connection has carried that id once, or if the connection has carried nothing else. answer::History keeps what a connection has carried; idle connections that have carried an id are passed over for it, and judge calls an answer to a repeated id unclear. A connection is kept only after an answer with an id, and not after a refusal, whose copies would meet other requests and make them unclear.

The model of "may this be sent again" gets connections with history and callers that send a refused request again; a host without history is a counterexample there.

--- a/src/answer/history.rs
+++ b/src/answer/history.rs
@@ -8,8 +8,19 @@
 /// Maximum number of requests on one connection; bounds the memory of their ids
 const MAX_REQUESTS: usize = 256;
 
+/// How the answer to a request is told from late copies of earlier answers on its connection
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distinction {
+    /// There are no earlier answers
+    First,
+    /// By the id, which the connection has not carried before
+    Id,
+    /// By nothing
+    None,
+}
+
 /// Requests that a connection has carried
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct History {
     /// Hashes of their ids; two ids with one hash only cost another connection
     ids: BTreeSet<u64>,
@@ -22,9 +33,18 @@
         Self::default()
     }
 
-    /// Returns whether a request was sent on the connection
-    pub fn is_used(&self) -> bool {
-        self.requests > 0
+    /// Returns how the answer to a request with this id would be told from earlier ones
+    pub fn distinction(&self, id: Option<&str>) -> Distinction {
+        match id {
+            _ if self.requests == 0 => Distinction::First,
+            Some(id) if !self.has_carried(id) => Distinction::Id,
+            _ => Distinction::None,
+        }
+    }
+
+    /// Returns whether a request with this id may be sent on the connection
+    pub fn may_carry(&self, id: Option<&str>) -> bool {
+        !self.is_full() && self.distinction(id) != Distinction::None
     }
 
     /// Returns whether a request with this id was sent on the connection
@@ -33,7 +53,7 @@
     }
 
     /// Returns whether the connection has carried as many requests as it may
-    pub fn is_full(&self) -> bool {
+    fn is_full(&self) -> bool {
         self.requests >= MAX_REQUESTS
     }
 
--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -2,15 +2,17 @@
 //!
 //! A wrong "did not run" makes a once-only request run twice, so a refusal counts only if nothing but
 //! the request itself can have caused it. On a connection that was used before, all or the first part
-//! of an earlier answer may stand before the request's own one. Heads with a second status line are
-//! malformed already ([`crate::message::Response::parse`]).
+//! of an earlier answer may stand before the request's own one, also an earlier refusal of the same
+//! request. Therefore an answer counts as the request's own only if it states the request's id and the
+//! connection has carried that id once, or if the connection has carried nothing else. Heads with a
+//! second status line are malformed already ([`crate::message::Response::parse`]).
 
 mod history;
 
 #[cfg(test)]
 mod tests;
 
-pub use history::History;
+pub use history::{Distinction, History};
 
 /// What was seen of an exchange up to the head of an answer
 #[derive(Clone, Copy, Debug)]
@@ -19,8 +21,8 @@
     pub sent_id: Option<&'a str>,
     /// All ids that the head states
     pub stated_ids: &'a [&'a str],
-    /// Whether an answer without an id may belong to an earlier request
-    pub needs_id: bool,
+    /// How the answer is told from earlier ones on the connection
+    pub distinction: Distinction,
     /// Number of answers to other requests that came before on the connection after the request
     pub skipped: usize,
     /// HTTP status
@@ -44,10 +46,14 @@
 
 /// Judges the head of an answer
 pub fn judge(evidence: &Evidence<'_>) -> Verdict {
-    match (evidence.sent_id, evidence.stated_ids) {
-        (_, [_, _, ..]) => return Verdict::Unclear("answer with several attempt ids"),
-        (Some(sent), [stated]) if sent != *stated => return Verdict::Foreign,
-        (Some(_), []) if evidence.needs_id || evidence.skipped > 0 => {
+    match (evidence.distinction, evidence.sent_id, evidence.stated_ids) {
+        (_, _, [_, _, ..]) => return Verdict::Unclear("answer with several attempt ids"),
+        (_, Some(sent), [stated]) if sent != *stated => return Verdict::Foreign,
+        (Distinction::None, ..) => {
+            return Verdict::Unclear("attempt id that the connection has carried before");
+        }
+        (Distinction::Id, _, []) => return Verdict::Unclear("answer without an attempt id"),
+        (Distinction::First, Some(_), []) if evidence.skipped > 0 => {
             return Verdict::Unclear("answer without an attempt id");
         }
         _ => {}
--- a/src/answer/tests/model.rs
+++ b/src/answer/tests/model.rs
@@ -1,9 +1,10 @@
 //! Checked model of "may this request be sent again": every order of sending, running, refusing,
-//! crashing, closing, giving up and late copies for two once-only requests at two endpoints.
+//! crashing, closing, giving up and late copies for two once-only requests at two endpoints, also when
+//! a caller sends a refused request again under its id.
 
 use std::collections::{BTreeSet, VecDeque};
 
-use crate::answer::{Evidence, Verdict, judge};
+use crate::answer::{Distinction, Evidence, History, Verdict, judge};
 
 const REQUESTS: usize = 2;
 const ENDPOINTS: usize = 2;
@@ -17,6 +18,22 @@
 /// Number of answers to other requests that the host skips on a connection
 const MAX_SKIPPED: usize = 2;
 
+/// Number of requests that callers send again in one history
+const MAX_RETRIES: u8 = 2;
+
+/// Decisions of the host
+#[derive(Clone, Copy)]
+struct Host {
+    judge: fn(&Evidence<'_>) -> Verdict,
+    /// Whether a request may be sent on a connection
+    may_carry: fn(&History, &str) -> bool,
+}
+
+const HOST: Host = Host {
+    judge,
+    may_carry: |history, id| history.may_carry(Some(id)),
+};
+
 /// Answer to a request, or a copy of it
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Answer {
@@ -31,7 +48,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct Endpoint {
     is_open: bool,
-    is_used: bool,
+    /// What the connection has carried
+    history: History,
     /// Answers on their way to the host
     inbox: VecDeque<Answer>,
     /// Answers that were written on the connection
@@ -56,8 +74,9 @@
     /// Endpoints that the current request was sent to
     tried: [bool; ENDPOINTS],
     /// Endpoint whose answer the host awaits, and the number of answers skipped there
-    awaits: Option<(usize, usize, bool)>,
+    awaits: Option<(usize, usize, Distinction)>,
     copies: u8,
+    retries: u8,
 }
 
 impl State {
@@ -97,7 +116,7 @@
     }
 
     /// Returns all states that may follow
-    fn next(&self, judge: &impl Fn(&Evidence<'_>) -> Verdict) -> Vec<Self> {
+    fn next(&self, host: Host) -> Vec<Self> {
         let mut states = Vec::new();
         let mut add = |change: &dyn Fn(&mut Self)| {
             let mut state = self.clone();
@@ -107,24 +126,34 @@
         match (self.current(), self.awaits) {
             (Some(request), None) => {
                 for endpoint in (0..ENDPOINTS).filter(|endpoint| !self.tried[*endpoint]) {
-                    add(&|state| state.send(request, endpoint));
+                    add(&|state| state.send(request, endpoint, host));
                 }
                 if self.tried.iter().all(|tried| *tried) {
                     add(&|state| state.tell(Told::NotRun));
                 }
             }
-            (Some(request), Some((endpoint, skipped, is_reused))) => {
+            (Some(request), Some((endpoint, skipped, distinction))) => {
                 // The request times out, or the connection breaks.
                 add(&|state| {
                     state.close(endpoint);
                     state.tell(Told::Unknown);
                 });
                 if !self.endpoints[endpoint].inbox.is_empty() {
-                    add(&|state| state.read(request, endpoint, skipped, is_reused, judge));
+                    add(&|state| state.read(request, endpoint, skipped, distinction, host));
                 }
             }
             (None, _) => {}
         }
+        for request in (0..REQUESTS).filter(|_| self.awaits.is_none()) {
+            // The caller sends the request again under its id.
+            if self.told[request] == Some(Told::NotRun) && self.retries < MAX_RETRIES {
+                add(&|state| {
+                    state.retries += 1;
+                    state.told[request] = None;
+                    state.tried = Default::default();
+                });
+            }
+        }
         for endpoint in 0..ENDPOINTS {
             if let Some(request) = self.endpoints[endpoint].pending {
                 for is_refusal in [false, true] {
@@ -157,20 +186,22 @@
         states
     }
 
-    fn send(&mut self, request: usize, index: usize) {
+    fn send(&mut self, request: usize, index: usize, host: Host) {
         let endpoint = &mut self.endpoints[index];
-        if !endpoint.is_open || !endpoint.inbox.is_empty() {
+        let id = IDS[request];
+        let may_carry = (host.may_carry)(&endpoint.history, id);
+        if !endpoint.is_open || !endpoint.inbox.is_empty() || !may_carry {
             // Bytes that came early close a kept connection.
             endpoint.inbox.clear();
             endpoint.written.clear();
             endpoint.is_open = true;
-            endpoint.is_used = false;
+            endpoint.history = History::new();
         }
-        let is_reused = endpoint.is_used;
-        endpoint.is_used = true;
+        let distinction = endpoint.history.distinction(Some(id));
+        endpoint.history.record(Some(id));
         endpoint.pending = Some(request);
         self.tried[index] = true;
-        self.awaits = Some((index, 0, is_reused));
+        self.awaits = Some((index, 0, distinction));
     }
 
     fn answer(&mut self, index: usize, request: usize, is_refusal: bool) {
@@ -196,8 +227,8 @@
         request: usize,
         index: usize,
         skipped: usize,
-        is_reused: bool,
-        judge: &impl Fn(&Evidence<'_>) -> Verdict,
+        distinction: Distinction,
+        host: Host,
     ) {
         let Some(answer) = self.endpoints[index].inbox.pop_front() else {
             return;
@@ -208,10 +239,10 @@
             return self.tell(Told::Unknown);
         }
         let ids = [IDS[answer.request]];
-        let verdict = judge(&Evidence {
+        let verdict = (host.judge)(&Evidence {
             sent_id: Some(IDS[request]),
             stated_ids: if answer.states_id { &ids } else { &[] },
-            needs_id: is_reused,
+            distinction,
             skipped,
             status: if answer.is_refusal { 503 } else { 200 },
             refusals: usize::from(answer.is_refusal),
@@ -220,7 +251,7 @@
             Verdict::Own => self.tell(Told::Served),
             Verdict::NotRun => self.awaits = None,
             Verdict::Foreign if skipped < MAX_SKIPPED => {
-                self.awaits = Some((index, skipped + 1, is_reused));
+                self.awaits = Some((index, skipped + 1, distinction));
             }
             Verdict::Foreign | Verdict::Unclear(_) => {
                 self.close(index);
@@ -231,14 +262,14 @@
 }
 
 /// Returns the number of states, or what is wrong in one of them
-fn explore(judge: impl Fn(&Evidence<'_>) -> Verdict) -> Result<usize, String> {
+fn explore(host: Host) -> Result<usize, String> {
     let mut seen = BTreeSet::from([State::default()]);
     let mut queue = VecDeque::from([State::default()]);
     while let Some(state) = queue.pop_front() {
         if let Some(fault) = state.fault() {
             return Err(fault);
         }
-        for next in state.next(&judge) {
+        for next in state.next(host) {
             if seen.insert(next.clone()) {
                 queue.push_back(next);
             }
@@ -250,7 +281,7 @@
 // No order of events lets a once-only request run twice, or run although it was refused.
 #[test]
 fn once_only_request_is_sent_again_after_it_ran() {
-    let states = explore(judge).expect("no fault");
+    let states = explore(HOST).expect("no fault");
     println!("{states} states");
     assert!(states > 10_000, "{states} states only");
 }
@@ -259,30 +290,63 @@
 fn model_finds_the_faults_of_weaker_decisions() {
     struct Case {
         name: &'static str,
-        judge: fn(&Evidence<'_>) -> Verdict,
+        host: Host,
     }
     let cases = [
         Case {
             name: "an answer without an id is the own one",
-            judge: |evidence| {
-                judge(&Evidence {
-                    needs_id: false,
-                    skipped: 0,
-                    ..*evidence
-                })
+            host: Host {
+                judge: |evidence| {
+                    judge(&Evidence {
+                        distinction: Distinction::First,
+                        skipped: 0,
+                        ..*evidence
+                    })
+                },
+                ..HOST
             },
         },
         Case {
             name: "ids are not looked at",
-            judge: |evidence| {
-                judge(&Evidence {
-                    sent_id: None,
-                    ..*evidence
-                })
+            host: Host {
+                judge: |evidence| {
+                    judge(&Evidence {
+                        distinction: Distinction::First,
+                        sent_id: None,
+                        ..*evidence
+                    })
+                },
+                ..HOST
+            },
+        },
+        Case {
+            name: "a connection carries an id again, which is believed",
+            host: Host {
+                judge: |evidence| {
+                    let distinction = match evidence.distinction {
+                        Distinction::None => Distinction::Id,
+                        distinction => distinction,
+                    };
+                    judge(&Evidence {
+                        distinction,
+                        ..*evidence
+                    })
+                },
+                may_carry: |_, _| true,
             },
         },
     ];
     for case in cases {
-        assert!(explore(case.judge).is_err(), "{}", case.name);
+        assert!(explore(case.host).is_err(), "{}", case.name);
     }
 }
+
+// Without a second connection, the answer to a repeated id proves nothing.
+#[test]
+fn repeated_id_on_its_connection_is_believed() {
+    let host = Host {
+        may_carry: |_, _| true,
+        ..HOST
+    };
+    explore(host).expect("no fault");
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -16,7 +16,7 @@
 use super::stream::RemainingBody;
 use super::upload::{SendError, Upload};
 use super::{Gateway, advice, idle};
-use crate::answer::History;
+use crate::answer::Distinction;
 use crate::catalog::Endpoint;
 use crate::id::RouteId;
 use crate::message::{Connection, Request, Response, timeout};
@@ -302,10 +302,13 @@
         MAX_IDLE_NON_IDEMPOTENT
     };
     let max_idle = max_idle.min(Duration::from_secs(3600));
-    let idle = gateway
-        .idle_connections
-        .borrow_mut()
-        .take(Instant::now(), address, max_idle);
+    let attempt_id = header::attempt_id(&request.headers);
+    record_repeated_id(gateway, in_flight, attempt_id);
+    let idle =
+        gateway
+            .idle_connections
+            .borrow_mut()
+            .take(Instant::now(), address, max_idle, attempt_id);
     let mut broken = None;
     if let Some(idle) = idle
         && upload.can_resend()
@@ -314,7 +317,6 @@
         if !in_flight.may_send(limits) {
             return Err(Failure::Withheld);
         }
-        record_repeated_id(gateway, &idle.history, in_flight, request);
         let sent = send(idle, in_flight, request, upload, limits).await;
         // The endpoint may close an idle connection while the request is being sent on it.
         let error = match sent {
@@ -331,9 +333,8 @@
             return Err(Failure::Broken(error));
         };
         in_flight.permit = permit;
-        let attempt_id = header::attempt_id(&request.headers).unwrap_or("-");
         let fields = [
-            ("id", attempt_id.into()),
+            ("id", attempt_id.unwrap_or("-").into()),
             ("endpoint", in_flight.endpoint.id.as_str().into()),
             ("error", error.as_str().into()),
         ];
@@ -368,23 +369,19 @@
     send(connection, in_flight, request, upload, limits).await
 }
 
-/// Records that a request is sent on a connection that has carried its id before
-fn record_repeated_id(
-    gateway: &Gateway,
-    history: &History,
-    in_flight: &InFlight,
-    request: &Request,
-) {
-    let Some(attempt_id) = header::attempt_id(&request.headers) else {
+/// Records that a kept connection has carried the id of a request before, so that it is not used
+fn record_repeated_id(gateway: &Gateway, in_flight: &InFlight, attempt_id: Option<&str>) {
+    let endpoint = &in_flight.endpoint;
+    let idle_connections = gateway.idle_connections.borrow();
+    let Some(attempt_id) =
+        attempt_id.filter(|id| idle_connections.has_carried(endpoint.address, id))
+    else {
         return;
     };
-    if !history.has_carried(attempt_id) {
-        return;
-    }
     gateway.metrics.count_repeated_id();
     let fields = [
         ("id", attempt_id.into()),
-        ("endpoint", in_flight.endpoint.id.as_str().into()),
+        ("endpoint", endpoint.id.as_str().into()),
     ];
     gateway.recorder.event("repeated-id", &fields);
 }
@@ -396,10 +393,9 @@
     upload: &mut Upload<'_>,
     limits: Limits,
 ) -> Result<Received, Failure> {
-    let is_reused = connection.history.is_used();
-    connection
-        .history
-        .record(header::attempt_id(&request.headers));
+    let attempt_id = header::attempt_id(&request.headers);
+    let distinction = connection.history.distinction(attempt_id);
+    connection.history.record(attempt_id);
     let to_failure = |error: &dyn std::fmt::Display| Failure::Broken(error.to_string());
     let now = Instant::now();
     let time_left = limits.deadline.saturating_duration_since(now);
@@ -430,7 +426,7 @@
         std::future::pending().await
     };
     let endpoint = &in_flight.endpoint.id;
-    let receiving = receive::read_head(&mut connection.stream, request, endpoint, is_reused);
+    let receiving = receive::read_head(&mut connection.stream, request, endpoint, distinction);
     let answer = timeout(limits.deadline, receiving.or(sending)).await;
     let (head, verdict) = answer.unwrap_or(Err(Failure::TimedOut))?;
     Ok(Received {
@@ -438,6 +434,6 @@
         head,
         verdict,
         uploaded: uploaded.get(),
-        is_reused,
+        is_reused: distinction != Distinction::First,
     })
 }
--- a/src/gateway/exchange/receive.rs
+++ b/src/gateway/exchange/receive.rs
@@ -7,7 +7,7 @@
 use super::super::stream::{self, RemainingBody};
 use super::super::{Gateway, advice, idle};
 use super::{EndpointAnswer, Failure, InFlight, Limits, Refused, pool_outcome};
-use crate::answer::Verdict;
+use crate::answer::{Distinction, Verdict};
 use crate::message::{self, Connection, Request, Response, timeout};
 use crate::placement::Outcome;
 use crate::platform::header;
@@ -39,13 +39,13 @@
     connection: &mut Connection,
     request: &Request,
     endpoint: &str,
-    is_reused: bool,
+    distinction: Distinction,
 ) -> Result<(Response, Verdict), Failure> {
     let to_failure = |error: message::Error| Failure::Broken(error.to_string());
     for skipped in 0..=MAX_STRAY_ANSWERS {
         let head = connection.read_response(&request.method).await;
         let head = head.map_err(to_failure)?;
-        match header::judge(request, endpoint, &head, is_reused, skipped) {
+        match header::judge(request, endpoint, &head, distinction, skipped) {
             Verdict::Foreign => {
                 let body = connection.read_body(head.length, MAX_BUFFERED_BYTES).await;
                 body.map_err(to_failure)?;
@@ -99,9 +99,7 @@
         }
     };
     if let Some(failure) = rejection(&head, verdict, &in_flight, is_reused) {
-        if is_complete {
-            keep_connection(gateway, &in_flight, &head, connection);
-        }
+        // A copy of the refusal may still come, so the connection is not kept.
         in_flight.finish(pool_outcome(&failure));
         return Err(failure);
     }
@@ -162,7 +160,9 @@
     head: &Response,
     connection: idle::Connection,
 ) {
-    if !head.keep_alive || connection.stream.has_unread_bytes() || connection.history.is_full() {
+    // A copy of an answer without an id could not be told from a later one.
+    let states_id = header::attempt_id(&head.headers).is_some();
+    if !head.keep_alive || !states_id || connection.stream.has_unread_bytes() {
         return;
     }
     let keep_alive = header::keep_alive_timeout(&head.headers);
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -5,7 +5,7 @@
 use smol::net::{TcpListener, TcpStream};
 
 use super::receive;
-use crate::answer::Verdict;
+use crate::answer::{Distinction, Verdict};
 use crate::message::{Connection, Request};
 
 /// Seed of the streams that CI reads
@@ -169,8 +169,11 @@
         for number in 0..count {
             let stream = generate(&mut rng);
             let mut connection = Connection::with_received(closed.clone(), stream.bytes.clone());
-            let answer =
-                receive::read_head(&mut connection, &request, TARGET, stream.is_reused).await;
+            let distinction = match stream.is_reused {
+                true => Distinction::Id,
+                false => Distinction::First,
+            };
+            let answer = receive::read_head(&mut connection, &request, TARGET, distinction).await;
             let text = String::from_utf8_lossy(&stream.bytes);
             let place = format!("stream {number}: {stream:?}\n{text}");
             let own_verdict = match stream.execution {
--- a/src/gateway/idle.rs
+++ b/src/gateway/idle.rs
@@ -72,22 +72,35 @@
         }
     }
 
-    /// Takes the newest connection that was idle for at most `max_idle`
+    /// Returns whether a connection to an address has carried a request with this id
+    pub fn has_carried(&self, address: SocketAddr, id: &str) -> bool {
+        let connections = self.0.get(&address).into_iter().flatten();
+        connections
+            .into_iter()
+            .any(|idle| idle.connection.history.has_carried(id))
+    }
+
+    /// Takes the newest connection that may carry a request with this id, if it was idle for at most
+    /// `max_idle`
     pub fn take(
         &mut self,
         now: Instant,
         address: SocketAddr,
         max_idle: Duration,
+        id: Option<&str>,
     ) -> Option<Connection> {
         let connections = self.0.get_mut(&address)?;
-        let newest = connections.pop_back()?;
-        if now < newest.expires_at && now <= newest.idle_since + max_idle {
-            return Some(newest.connection);
-        }
-        if now < newest.expires_at {
-            connections.push_back(newest);
+        let position = connections
+            .iter()
+            .rposition(|idle| idle.connection.history.may_carry(id))?;
+        let newest = connections.get(position)?;
+        let is_open = now < newest.expires_at;
+        let is_recent = now <= newest.idle_since + max_idle;
+        if is_open && !is_recent {
+            return None;
         }
-        None
+        let newest = connections.remove(position)?;
+        is_open.then_some(newest.connection)
     }
 
     /// Closes expired connections
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::answer::{self, Evidence, Verdict};
+use crate::answer::{self, Distinction, Evidence, Verdict};
 use crate::bound;
 use crate::message::{Headers, Request, Response};
 use crate::util::stable_hash;
@@ -147,13 +147,13 @@
 
 /// Returns what an answer proves about a request that was sent to an endpoint
 ///
-/// `is_reused` tells whether the connection was used before, `skipped` how many answers to other
-/// requests came on it since the request was sent.
+/// `skipped` tells how many answers to other requests came on the connection since the request was
+/// sent.
 pub fn judge(
     request: &Request,
     endpoint: &str,
     response: &Response,
-    is_reused: bool,
+    distinction: Distinction,
     skipped: usize,
 ) -> Verdict {
     let Ok(stated_ids) = response.headers.texts(ATTEMPT_ID) else {
@@ -162,7 +162,7 @@
     answer::judge(&Evidence {
         sent_id: attempt_id(&request.headers),
         stated_ids: &stated_ids,
-        needs_id: is_reused,
+        distinction,
         skipped,
         status: response.status,
         refusals: refusals(response, endpoint),
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -20,7 +20,7 @@
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
-use crate::answer::{self, Evidence, Verdict};
+use crate::answer::{self, Distinction, Evidence, Verdict};
 use crate::bound;
 use crate::http;
 use crate::slot::Load;
@@ -171,7 +171,10 @@
         let verdict = answer::judge(&Evidence {
             sent_id: Some(&own_id),
             stated_ids: &stated_ids,
-            needs_id: idle.states_ids,
+            distinction: match idle.states_ids {
+                true => Distinction::Id,
+                false => Distinction::First,
+            },
             skipped: 0,
             status,
             refusals: usize::from(status == 503 && (is_leaving || is_shed)),
