--- a/src/upstream/tests.rs
+++ b/src/upstream/tests/mod.rs
@@ -1,5 +1,7 @@
 //! Handling of complete, truncated and malformed upstream responses over real sockets.
 
+mod copies;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -237,7 +239,11 @@
 }
 
 async fn send(client: &Client, address: SocketAddr, method: &str) -> Outcome {
-    match send_and_read(client, address, method).await {
+    outcome(send_and_read(client, address, &request(method)).await)
+}
+
+fn outcome(result: Result<(u16, Vec<u8>), Error>) -> Outcome {
+    match result {
         Ok((status, body)) => Outcome::Complete(status, body),
         Err(Error::NotSent(..)) => Outcome::NotSent,
         Err(Error::Shed(..)) => Outcome::Shed,
@@ -251,10 +257,10 @@
 async fn send_and_read(
     client: &Client,
     address: SocketAddr,
-    method: &str,
+    request: &Request,
 ) -> Result<(u16, Vec<u8>), Error> {
     let mut reply = client
-        .send(address, &request(method), Instant::now() + REQUEST_TIMEOUT)
+        .send(address, request, Instant::now() + REQUEST_TIMEOUT)
         .await?;
     let mut body = Vec::new();
     while let Some(chunk) = reply.body.next().await? {
