--- a/src/standin/fault.rs
+++ b/src/standin/fault.rs
@@ -63,6 +63,9 @@
     pub surplus: f64,
     /// Ratio of responses after which the connection closes without `Connection: close`
     pub close: f64,
+    /// Ratio of requests that were refused and arrive again on the same connection before whose
+    /// response a copy of the refusal is sent
+    pub copied_refusals: f64,
 }
 
 impl Default for Faults {
@@ -84,6 +87,7 @@
             crossed: 0.0,
             surplus: 0.0,
             close: 0.0,
+            copied_refusals: 0.0,
         }
     }
 }
--- a/src/standin/record.rs
+++ b/src/standin/record.rs
@@ -64,6 +64,8 @@
     pub over_slots: u64,
     /// Number of accepted connections
     pub connections: u64,
+    /// Number of copies of refusals that were sent
+    pub copied_refusals: u64,
     /// Time when the newest request was admitted, in milliseconds since the Unix epoch
     pub last_begun: u64,
 }
--- a/src/standin/upstream.rs
+++ b/src/standin/upstream.rs
@@ -5,7 +5,7 @@
 //! response body is a line of JSON with the request's key and ID, padded with
 //! [`super::response::padding_byte`] to the size in the query parameter `size`.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -56,6 +56,7 @@
     max_running: u32,
     over_slots: u64,
     connections: u64,
+    copied_refusals: u64,
     started_requests: u64,
     last_started: u64,
     running_history: VecDeque<(Instant, u32)>,
@@ -70,6 +71,9 @@
     state: Arc<Mutex<State>>,
 }
 
+/// Refusals that were sent on a connection, as bytes by the id of the request
+type Refusals = BTreeMap<String, Vec<u8>>;
+
 /// Acquired slot, released on drop
 #[derive(Debug)]
 pub struct Slot {
@@ -120,6 +124,7 @@
             max_running: 0,
             over_slots: 0,
             connections: 0,
+            copied_refusals: 0,
             started_requests: 0,
             last_started: 0,
             running_history: VecDeque::new(),
@@ -149,6 +154,7 @@
     async fn serve_connection(&self, mut stream: TcpStream) -> http_types::Result<()> {
         stream.set_nodelay(true)?;
         self.lock().connections += 1;
+        let mut refusals = Refusals::new();
         loop {
             let idle_timeout = async {
                 Timer::after(IDLE_TIMEOUT).await;
@@ -164,7 +170,10 @@
                     send(&mut stream, response, request.method()).await?;
                     true
                 }
-                _ => self.handle_request(&mut stream, request, &body).await?,
+                _ => {
+                    self.handle_request(&mut stream, request, &body, &mut refusals)
+                        .await?
+                }
             };
             if !keep_alive {
                 return Ok(());
@@ -194,20 +203,18 @@
         stream: &mut TcpStream,
         request: Request,
         body: &[u8],
+        refusals: &mut Refusals,
     ) -> http_types::Result<bool> {
         let mut entry = new_entry(&request, body);
-        let method = request.method();
         let slot = match self.admit().await {
             Admission::Granted(slot) => slot,
             Admission::Shed => {
                 self.record_outcome(&mut entry, Outcome::Shed);
-                let response = self.refusal("pier-shed")?;
-                return send(stream, response, method).await.map(|()| true);
+                return self.refuse(stream, &entry, "pier-shed", refusals).await;
             }
             Admission::Leaving => {
                 self.record_outcome(&mut entry, Outcome::Shed);
-                let response = self.refusal("pier-leaving")?;
-                return send(stream, response, method).await.map(|()| true);
+                return self.refuse(stream, &entry, "pier-leaving", refusals).await;
             }
         };
         let deadline = header_value(&request, "pier-deadline").parse().ok();
@@ -233,14 +240,19 @@
         if !effect.or(deadline_passed).or(connection_closed).await {
             self.record_outcome(&mut entry, Outcome::Cancelled);
             drop(slot);
-            let response = self.refusal("pier-shed")?;
-            return send(stream, response, method).await.map(|()| true);
+            return self.refuse(stream, &entry, "pier-shed", refusals).await;
         }
         if has_crash_marker {
             self.record_outcome(&mut entry, Outcome::Crashed);
             std::process::exit(i32::from(EXIT_REFUSED));
         }
         self.record_outcome(&mut entry, Outcome::Ran);
+        if let Some(refusal) = refusals.get(&entry.request)
+            && fastrand::f64() < self.lock().faults.copied_refusals
+        {
+            self.lock().copied_refusals += 1;
+            stream.write_all(refusal).await?;
+        }
         Timer::after(service_time - service_time / 2).await;
         self.send_response(stream, &request, &entry, slot).await
     }
@@ -341,12 +353,26 @@
         in_body || target.contains(marker)
     }
 
-    fn refusal(&self, reason_header: &str) -> http_types::Result<Response> {
+    /// Sends a refusal and returns whether the connection stays open
+    async fn refuse(
+        &self,
+        stream: &mut TcpStream,
+        entry: &Entry,
+        reason_header: &str,
+        refusals: &mut Refusals,
+    ) -> http_types::Result<bool> {
         let mut response = text_response(503, "not run")?;
         response.insert_header(reason_header, "1");
+        response.insert_header("pier-request", entry.request.as_str());
         let health = self.health();
         response.insert_header("load", format!("{}/{}", health.running, health.slots));
-        Ok(response)
+        let method = entry.method.parse()?;
+        let mut bytes = Vec::new();
+        io::copy(Encoder::new(response, method), &mut bytes).await?;
+        stream.write_all(&bytes).await?;
+        stream.flush().await?;
+        refusals.insert(entry.request.clone(), bytes);
+        Ok(true)
     }
 
     fn load_header(&self, _slot: &Slot) -> String {
@@ -382,6 +408,7 @@
             max_running: state.max_running,
             over_slots: state.over_slots,
             connections: state.connections,
+            copied_refusals: state.copied_refusals,
             last_begun: state.last_started,
         }
     }
