Forwarded tickets: "not run" only from the holder of the ticket

Callers saw: a once-only request ran; when it came again with its ticket and no time left at a host that does not hold the ticket, it was told "not run".

Cause: `remote::forward` returned "not run" for what it did not send. That is true of this request, but not of an earlier one with the same ticket; `execute` and `incoming` say so already for a host that stops and for a full link. A reply `Unsupported` was read the same way.

Change: only for requests without a ticket is "not sent" "not run"; with a ticket the outcome is unknown.

Measured with request_that_ran_is_told_not_run_when_it_comes_again: before, 0 ms left at the other host: "not-run", "too-late"; after: "unknown", "too-late". With 2,000 ms and 1 ms left, and at the holder, the stored response is replayed before and after. The reply `Unsupported` was not played.

--- a/src/entry/remote.rs
+++ b/src/entry/remote.rs
@@ -10,7 +10,7 @@
 use crate::entry::{Host, Outcome, Reply, lock, refusal};
 use crate::member::{HostInfo, State};
 use crate::peer::{Error, Exchange};
-use crate::wire::{Cause, Frame, Request};
+use crate::wire::{Cause, Frame, Operation, Request};
 
 /// How long a response from another host may pause between two frames
 pub const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -95,7 +95,7 @@
     let link = lock(&host.link).clone()?;
     request.remaining = deadline.saturating_duration_since(Instant::now());
     if request.remaining.is_zero() {
-        return Some(Outcome::NotRun(refusal(Cause::TooLate)));
+        return Some(not_taken(&request.operation, Cause::TooLate));
     }
     host.count_attempt();
     let first = Frame::Request(request.clone());
@@ -113,7 +113,7 @@
         }
         None => return Some(Outcome::Unknown(refusal(Cause::TooLate))),
     };
-    let result = await_outcome(stream, deadline)
+    let result = await_outcome(stream, &request.operation, deadline)
         .or(host_death(host, to))
         .await;
     if let Wait::HostLost(Outcome::Unknown(refused)) = &result
@@ -125,6 +125,16 @@
     Some(outcome)
 }
 
+/// Returns the outcome of a request that the other host did not take
+///
+/// Only the holder of a ticket knows whether an earlier request with it ran.
+fn not_taken(operation: &Operation, cause: Cause) -> Outcome {
+    match operation {
+        Operation::Serve => Outcome::NotRun(refusal(cause)),
+        Operation::Execute(_) => Outcome::Unknown(refusal(cause)),
+    }
+}
+
 /// How the wait for an outcome ended
 enum Wait {
     /// The other host reported the outcome
@@ -151,7 +161,7 @@
     }
 }
 
-async fn await_outcome(mut stream: Stream, deadline: Instant) -> Wait {
+async fn await_outcome(mut stream: Stream, operation: &Operation, deadline: Instant) -> Wait {
     let lost = |cause| Wait::HostLost(Outcome::Unknown(refusal(cause)));
     let frame = async { Some(stream.exchange.next().await) };
     let frame = match frame.or(timeout_at(deadline)).await {
@@ -168,7 +178,7 @@
         }
         Frame::Refused(refused) => Outcome::NotRun(refused),
         Frame::Unknown(refused) => Outcome::Unknown(refused),
-        Frame::Unsupported => Outcome::NotRun(refusal(Cause::NoUpstream)),
+        Frame::Unsupported => not_taken(operation, Cause::NoUpstream),
         _ => return lost(Cause::Broken),
     };
     stream.is_complete = true;
