pier-entry: send a request id once on a connection, and nothing after a refusal

Cause: the same as at pier-gate; the caller chooses the id of its request, and a kept connection took the id a second time. Upstreams that state no ids could have a whole copy taken for the answer to any request.

Change: upstream::Client uses answer::History, the same rule as pier-gate. A connection is not kept after a refusal or after a response without an id, so upstreams that state no ids get a new connection for each request.

--- a/src/upstream/idle.rs
+++ b/src/upstream/idle.rs
@@ -8,6 +8,8 @@
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
+use crate::answer::History;
+
 /// Maximum number of idle connections per upstream
 const MAX_PER_UPSTREAM: usize = 8;
 
@@ -19,8 +21,18 @@
 pub struct Connection {
     /// Open stream without unread bytes
     pub stream: TcpStream,
-    /// Whether a response on it stated the id of its request
-    pub states_ids: bool,
+    /// What it has carried
+    pub history: History,
+}
+
+impl Connection {
+    /// Creates a connection that has carried nothing
+    pub fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            history: History::new(),
+        }
+    }
 }
 
 /// Idle connections by address, most recently used last
@@ -39,15 +51,19 @@
         }
     }
 
-    /// Takes the most recently used connection that was idle for less than `max_idle`
+    /// Takes the most recently used connection that may carry a request with this id, if it was idle
+    /// for less than `max_idle`
     pub fn take(
         &mut self,
         now: Instant,
         address: SocketAddr,
         max_idle: Duration,
+        id: &str,
     ) -> Option<Connection> {
         let connections = self.by_address.get_mut(&address)?;
-        while let Some((connection, idle_since)) = connections.pop() {
+        let may_carry = |(connection, _): &(Connection, _)| connection.history.may_carry(Some(id));
+        while let Some(position) = connections.iter().rposition(may_carry) {
+            let (connection, idle_since) = connections.remove(position);
             if now >= idle_since + max_idle.min(IDLE_TIMEOUT) {
                 connections.clear();
                 break;
@@ -56,7 +72,9 @@
                 return Some(connection);
             }
         }
-        self.by_address.remove(&address);
+        if connections.is_empty() {
+            self.by_address.remove(&address);
+        }
         None
     }
 }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -5,8 +5,9 @@
 //! request at the upstream. A response must have a length or be chunked: if the end of the
 //! connection ended the body, a truncated response would pass as complete.
 //!
-//! A response that states the id of another request is not accepted; nor is one without an id, if an
-//! earlier response on the connection stated one: it may be a late copy of that.
+//! A response that states the id of another request is not accepted; nor is one without an id on a
+//! connection that has carried another request: it may be a late copy of an earlier one. A connection
+//! carries an id once, and nothing after a refusal or a response that states no id.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -20,7 +21,7 @@
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
-use crate::answer::{self, Distinction, Evidence, Verdict};
+use crate::answer::{self, Evidence, History, Verdict};
 use crate::bound;
 use crate::http;
 use crate::slot::Load;
@@ -38,9 +39,6 @@
 /// Maximum length of one chunk of a response body
 const CHUNK_BYTES: usize = 16 * 1024;
 
-/// Maximum length of a refusal's body that is read to reuse the connection
-const MAX_DISCARDED_BYTES: u64 = 4 * 1024;
-
 /// Maximum idle time of a connection for a request that must not run twice
 const MAX_IDLE_UNSAFE: Duration = Duration::from_secs(1);
 
@@ -105,8 +103,8 @@
     address: SocketAddr,
     deadline: Instant,
     client: Client,
-    /// Whether the response stated the id of its request
-    states_ids: bool,
+    /// What the connection has carried; `None` if it cannot be reused
+    history: Option<History>,
     is_complete: bool,
 }
 
@@ -129,10 +127,12 @@
         } else {
             MAX_IDLE_UNSAFE
         };
-        let idle = self.lock().take(Instant::now(), address, max_idle);
+        let own_id = wire_id(request);
+        let idle = self.lock().take(Instant::now(), address, max_idle, &own_id);
         let Some(idle) = idle else {
             let stream = connect(address, deadline).await?;
-            return self.exchange(address, new(stream), request, deadline).await;
+            let connection = idle::Connection::new(stream);
+            return self.exchange(address, connection, request, deadline).await;
         };
         let result = self.exchange(address, idle, request, deadline).await;
         // An upstream may close an idle connection while a request is being sent on it.
@@ -140,7 +140,8 @@
             let Ok(stream) = connect(address, deadline).await else {
                 return result;
             };
-            return self.exchange(address, new(stream), request, deadline).await;
+            let connection = idle::Connection::new(stream);
+            return self.exchange(address, connection, request, deadline).await;
         }
         result
     }
@@ -152,6 +153,10 @@
         request: &Request,
         deadline: Instant,
     ) -> Result<Reply, Error> {
+        let own_id = wire_id(request);
+        let mut history = idle.history;
+        let distinction = history.distinction(Some(&own_id));
+        history.record(Some(&own_id));
         let connection = Connection::new(idle.stream);
         let invalid =
             |error: &dyn std::fmt::Display| Error::InvalidResponse(address, error.to_string());
@@ -166,15 +171,11 @@
         let status: u16 = response.status().into();
         let is_leaving = response.header("pier-leaving").is_some();
         let is_shed = response.header("pier-shed").is_some();
-        let own_id = format!("{:016x}", request.id);
         let stated_ids = header_values(&response, "pier-request");
         let verdict = answer::judge(&Evidence {
             sent_id: Some(&own_id),
             stated_ids: &stated_ids,
-            distinction: match idle.states_ids {
-                true => Distinction::Id,
-                false => Distinction::First,
-            },
+            distinction,
             skipped: 0,
             status,
             refusals: usize::from(status == 503 && (is_leaving || is_shed)),
@@ -184,7 +185,9 @@
             Verdict::Unclear(reason) => return Err(invalid(&reason)),
             Verdict::Own | Verdict::NotRun => {}
         }
-        let states_ids = !stated_ids.is_empty();
+        // Copies of a refusal, or of a response without an id, may still come on its connection.
+        let is_kept = verdict == Verdict::Own && !stated_ids.is_empty();
+        let history = is_kept.then_some(history);
         let length = body_length(&request.method, &response).map_err(|text| invalid(&text))?;
         connection.set_body_length(length);
         let load = response
@@ -207,14 +210,13 @@
             address,
             deadline,
             client,
-            states_ids,
+            history,
             is_complete: false,
         };
         if length == Some(0) {
             body.finish();
         }
         if verdict == Verdict::NotRun {
-            body.discard().await;
             return Err(match is_leaving {
                 true => Error::Leaving(address),
                 false => Error::Shed(address, retry_after.map(bounded_seconds)),
@@ -261,29 +263,18 @@
 
     fn finish(&mut self) {
         self.is_complete = true;
-        if let Some(stream) = self.connection.reusable_stream() {
-            let states_ids = self.states_ids;
-            let idle = idle::Connection { stream, states_ids };
-            self.client.lock().put(Instant::now(), self.address, idle);
-        }
-    }
-
-    /// Reads the rest of a short body, so that its connection can be reused
-    async fn discard(&mut self) {
-        if self
-            .remaining
-            .is_some_and(|remaining| remaining <= MAX_DISCARDED_BYTES)
+        if let Some(history) = self.history.take()
+            && let Some(stream) = self.connection.reusable_stream()
         {
-            while let Ok(Some(_)) = self.next().await {}
+            let idle = idle::Connection { stream, history };
+            self.client.lock().put(Instant::now(), self.address, idle);
         }
     }
 }
 
-fn new(stream: TcpStream) -> idle::Connection {
-    idle::Connection {
-        stream,
-        states_ids: false,
-    }
+/// Returns a request's id as it is sent to upstreams
+fn wire_id(request: &Request) -> String {
+    format!("{:016x}", request.id)
 }
 
 async fn connect(address: SocketAddr, deadline: Instant) -> Result<TcpStream, Error> {
@@ -325,7 +316,7 @@
     let remaining = deadline
         .saturating_duration_since(Instant::now())
         .as_millis();
-    http_request.insert_header("pier-request", format!("{:016x}", request.id));
+    http_request.insert_header("pier-request", wire_id(request));
     http_request.insert_header("pier-deadline", remaining.to_string());
     if !request.body.is_empty() {
         let content_type = request
