Give other tasks a turn while a sender is always ahead

Callers saw requests that take 20 ms take 0.5 to 2 s, and gave up on one, while the store answered a host with chunks without end.

Cause: a read for which the socket has bytes does not wait, so reading up to 8 MiB from a sender that keeps the socket full was one turn of the task. A host has one thread: callers, timers and time limits waited. The same holds for uploads, drained input and heads, which are read by the same function.

Change: after four reads in a row without a wait, Connection::fill yields.

--- a/src/message/connection.rs
+++ b/src/message/connection.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use smol::Timer;
-use smol::future::{FutureExt, poll_once};
+use smol::future::{FutureExt, poll_once, yield_now};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 
@@ -15,6 +15,9 @@
 /// Maximum number of bytes per read from the socket
 const READ_BYTES: usize = 8 << 10;
 
+/// Maximum number of reads in a row for which the socket had bytes, before other tasks get a turn
+const MAX_READY_READS: u8 = 4;
+
 /// Maximum length of a chunk size line or trailer line
 const MAX_LINE_BYTES: usize = 4 << 10;
 
@@ -41,6 +44,8 @@
     /// Length of the buffered prefix without the end of a head
     scanned: usize,
     chunk_state: ChunkState,
+    /// Number of reads since this task waited
+    ready_reads: u8,
 }
 
 /// Position within a chunked body
@@ -79,6 +84,7 @@
             buffer,
             scanned: 0,
             chunk_state: ChunkState::Size,
+            ready_reads: 0,
         }
     }
 
@@ -344,8 +350,23 @@
 
     /// Reads from the socket into the buffer; returns 0 at the end of the stream
     async fn fill(&mut self) -> io::Result<usize> {
+        if self.ready_reads >= MAX_READY_READS {
+            // A sender that is always ahead never makes this task wait.
+            self.ready_reads = 0;
+            yield_now().await;
+        }
         let mut received = [0; READ_BYTES];
-        let count = self.stream.read(&mut received).await?;
+        let mut read = self.stream.read(&mut received);
+        let count = match poll_once(&mut read).await {
+            Some(count) => {
+                self.ready_reads += 1;
+                count?
+            }
+            None => {
+                self.ready_reads = 0;
+                read.await?
+            }
+        };
         self.buffer.extend_from_slice(&received[..count]);
         Ok(count)
     }
--- a/src/message/tests/mod.rs
+++ b/src/message/tests/mod.rs
@@ -302,3 +302,59 @@
         );
     });
 }
+
+// A sender that is always ahead must not keep the thread: other tasks and timers share it.
+#[test]
+fn sender_without_pauses_keeps_the_thread() {
+    const BODY_BYTES: usize = 128 << 10;
+    const MIN_TURNS: usize = BODY_BYTES / (32 << 10) - 1;
+    struct Case {
+        name: &'static str,
+        bytes: Vec<u8>,
+        length: Length,
+    }
+    let cases = [
+        Case {
+            name: "length",
+            bytes: vec![b'x'; BODY_BYTES],
+            length: Length::Bytes(BODY_BYTES as u64),
+        },
+        Case {
+            name: "chunks",
+            bytes: b"4\r\nabcd\r\n".repeat(BODY_BYTES / 9),
+            length: Length::Chunked,
+        },
+        Case {
+            name: "chunk extensions",
+            bytes: format!("1;{}\r\nx\r\n", "e".repeat(4000))
+                .repeat(BODY_BYTES / 4000)
+                .into_bytes(),
+            length: Length::Chunked,
+        },
+        Case {
+            name: "until close",
+            bytes: vec![b'x'; BODY_BYTES],
+            length: Length::UntilClose,
+        },
+    ];
+    for case in cases {
+        smol::block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("it listens");
+            let address = listener.local_addr().expect("it has an address");
+            let mut sender = TcpStream::connect(address).await.expect("it connects");
+            let (stream, _) = listener.accept().await.expect("it accepts");
+            sender.write_all(&case.bytes).await.expect("it is sent");
+            sender
+                .shutdown(std::net::Shutdown::Write)
+                .expect("it is ended");
+            let mut connection = Connection::new(stream).expect("the connection works");
+            let mut reading = std::pin::pin!(connection.read_body(case.length, BODY_BYTES));
+            let mut turns = 0;
+            while smol::future::poll_once(&mut reading).await.is_none() {
+                turns += 1;
+                smol::future::yield_now().await;
+            }
+            assert!(turns >= MIN_TURNS, "{}: {turns} turns", case.name);
+        });
+    }
+}
