Trust no longest duration while a request runs for longer

Callers of a host that stopped soon after its load began had once-only requests cut at the end of the grace period.

Cause: drain::Longest knew only requests that had ended. Soon after a start the short ones have, so requests that take twice as long were taken 3 s after SIGTERM.

Change: Longest keeps when the running attempts of a route started. While one is older than the longest that ended, the longest duration is not known, and the time limit counts. The age alone would not do: it is a lower bound, and one and a half times it (4.2 s at 3.4 s after SIGTERM in the play) still lets in requests of up to 7.5 s.

tests/planned_stop.rs gets a play: work of 2.5 to 7.5 s, time limit 8.9 s, grace period 10 s, 100 requests a second from 0.8 s before SIGTERM. The table of the decision is in src/drain/tests.rs.

--- a/src/drain/longest.rs
+++ b/src/drain/longest.rs
@@ -1,6 +1,9 @@
 //! Longest recent duration of each kind of request.
+//!
+//! While a request runs that is older than the longest one that ended, the longest duration is not
+//! known: soon after a start, only the short ones have ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use crate::id::RouteId;
@@ -25,18 +28,44 @@
     previous: Span,
 }
 
+/// When a running request started, and a number that tells it from others
+pub type Start = (Instant, u64);
+
 /// Longest recent durations by route
 #[derive(Clone, Debug, Default)]
-pub struct Longest(BTreeMap<RouteId, Recent>);
+pub struct Longest {
+    recent: BTreeMap<RouteId, Recent>,
+    running: BTreeMap<RouteId, BTreeSet<Start>>,
+    started: u64,
+}
 
 impl Longest {
+    /// Records that a request starts, until [`Longest::end`]
+    pub fn start(&mut self, now: Instant, route: &RouteId) -> Start {
+        self.started += 1;
+        let start = (now, self.started);
+        let running = self.running.entry(route.clone()).or_default();
+        running.insert(start);
+        start
+    }
+
+    /// Records that a request no longer runs
+    pub fn end(&mut self, route: &RouteId, start: Start) {
+        if let Some(running) = self.running.get_mut(route) {
+            running.remove(&start);
+            if running.is_empty() {
+                self.running.remove(route);
+            }
+        }
+    }
+
     /// Records the duration of a request
     pub fn record(&mut self, now: Instant, route: &RouteId, duration: Duration) {
-        if !self.0.contains_key(route) {
-            self.0
+        if !self.recent.contains_key(route) {
+            self.recent
                 .retain(|_, recent| now < recent.started_at + 2 * SPAN);
         }
-        let recent = self.0.entry(route.clone()).or_insert(Recent {
+        let recent = self.recent.entry(route.clone()).or_insert(Recent {
             started_at: now,
             current: Span::default(),
             previous: Span::default(),
@@ -46,14 +75,24 @@
         recent.current.longest = recent.current.longest.max(duration);
     }
 
-    /// Returns the longest duration, `None` if few requests were seen lately
+    /// Returns the longest duration, `None` if few requests were seen lately or one runs for longer
     pub fn get(&self, now: Instant, route: &RouteId) -> Option<Duration> {
-        let mut recent = *self.0.get(route)?;
+        let mut recent = *self.recent.get(route)?;
         recent.advance(now);
         let spans = [recent.current, recent.previous];
         let requests: u32 = spans.iter().map(|span| span.requests).sum();
         let longest = spans.iter().map(|span| span.longest).max();
-        longest.filter(|_| requests >= MIN_SAMPLES)
+        let longest = longest.filter(|_| requests >= MIN_SAMPLES)?;
+        (self.oldest_age(now, route) <= longest).then_some(longest)
+    }
+
+    /// Returns the age of the running request that started first, zero if none runs
+    fn oldest_age(&self, now: Instant, route: &RouteId) -> Duration {
+        let running = self.running.get(route);
+        let oldest = running.and_then(|running| running.first());
+        oldest.map_or(Duration::ZERO, |(started, _)| {
+            now.saturating_duration_since(*started)
+        })
     }
 }
 
--- a/src/drain/mod.rs
+++ b/src/drain/mod.rs
@@ -10,7 +10,7 @@
 
 pub use self::grace::Grace;
 pub use self::handover::{Handover, Offer, OfferOutcome};
-pub use self::longest::Longest;
+pub use self::longest::{Longest, Start};
 
 mod grace;
 mod handover;
--- a/src/drain/tests.rs
+++ b/src/drain/tests.rs
@@ -392,3 +392,47 @@
     longest.record(started, &route, Duration::from_millis(100));
     assert_eq!(longest.get(started, &route), None, "a single request");
 }
+
+#[test]
+fn requests_that_run_for_longer_than_any_that_ended_are_overlooked() {
+    struct Case {
+        name: &'static str,
+        /// Duration in milliseconds of the requests that ended
+        ended: u64,
+        /// Ages in milliseconds of the requests that run
+        running: &'static [u64],
+        expected: Option<u64>,
+    }
+    const ENDED: usize = 20;
+    let case = |name, ended, running, expected| Case {
+        name,
+        ended,
+        running,
+        expected,
+    };
+    let cases = [
+        case("none runs", 4000, &[], Some(4000)),
+        case("younger ones", 4000, &[0, 3900, 4000], Some(4000)),
+        case("an older one", 4000, &[100, 4001, 300], None),
+        case("several older ones", 100, &[4400, 4400, 4300], None),
+    ];
+    let now = Instant::now();
+    let route = "r".into();
+    for case in cases {
+        let at = |age| now - Duration::from_millis(age);
+        let mut longest = Longest::default();
+        for _ in 0..ENDED {
+            longest.record(now, &route, Duration::from_millis(case.ended));
+        }
+        let start = |age: &u64| longest.start(at(*age), &route);
+        let starts: Vec<_> = case.running.iter().map(start).collect();
+        longest.start(at(9000), &"other".into());
+        let expected = case.expected.map(Duration::from_millis);
+        assert_eq!(longest.get(now, &route), expected, "{}", case.name);
+        for start in starts {
+            longest.end(&route, start);
+        }
+        let ended = Some(Duration::from_millis(case.ended));
+        assert_eq!(longest.get(now, &route), ended, "{}, ended", case.name);
+    }
+}
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -20,12 +20,12 @@
 /// Number of requests before the stop; their connections stay open
 const EARLIER_REQUESTS: usize = 32;
 
-/// Time between two requests during the stop
-const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Time after SIGTERM within which a request may be sent that is cut in the end
 const EXCUSED_SENDING: Duration = Duration::from_secs(3);
 
+/// Time within which the requests before the stop end
+const MAX_EARLIER_TIME: Duration = Duration::from_secs(10);
+
 /// Part of the grace period at whose end a cut request must still run to be excused
 const EXCUSED_RATIO: f64 = 1.0 / 6.0;
 
@@ -43,6 +43,10 @@
     limit: u64,
     /// Milliseconds after SIGTERM until which requests must be served
     served_until: u64,
+    /// Milliseconds between two requests during the stop
+    interval: u64,
+    /// Milliseconds before SIGTERM since which requests come, `None` if all earlier ones have ended
+    since: Option<u64>,
 }
 
 /// Returns how long a request takes
@@ -66,7 +70,7 @@
     connection: Option<Connection>,
     host: SocketAddr,
     id: String,
-    stopped_at: Option<Instant>,
+    stopped_at: Instant,
 ) -> (Ended, Option<Connection>) {
     let sent_at = Instant::now();
     let deadline = sent_at + Duration::from_millis(case.limit) + Duration::from_secs(1);
@@ -89,7 +93,7 @@
     };
     let answer = timeout(deadline, exchange).await.flatten();
     let (status, connection) = answer.unzip();
-    let sent = stopped_at.map_or(Duration::ZERO, |stopped_at| sent_at - stopped_at);
+    let sent = sent_at.saturating_duration_since(stopped_at);
     (Ended { id, sent, status }, connection)
 }
 
@@ -120,7 +124,7 @@
         timeout_ms: 9000,
         ..Options::default()
     };
-    let mut site = Site::start_with(1, 1, options).await;
+    let site = Site::start_with(1, 1, options).await;
     raw::remove_others(&site);
     let mut endpoints = Vec::new();
     for number in 0..ENDPOINTS {
@@ -138,36 +142,41 @@
     }
     Timer::after(Duration::from_millis(1000)).await;
     let host = SocketAddr::new(site.gateways[0].ip, 8161);
-    let earlier = (0..EARLIER_REQUESTS).map(|number| {
-        smol::spawn(send(
-            case.clone(),
-            None,
-            host,
-            format!("before-{number}"),
-            None,
-        ))
-    });
-    let earlier: Vec<_> = earlier.collect();
     let mut connections = Vec::new();
-    for task in earlier {
-        connections.extend(task.await.1);
+    if case.since.is_none() {
+        let earlier = (0..EARLIER_REQUESTS).map(|number| {
+            let id = format!("before-{number}");
+            smol::spawn(send(
+                case.clone(),
+                None,
+                host,
+                id,
+                Instant::now() + MAX_EARLIER_TIME,
+            ))
+        });
+        let earlier: Vec<_> = earlier.collect();
+        for task in earlier {
+            connections.extend(task.await.1);
+        }
     }
-    let stopped_at = Instant::now();
-    site.gateways[0]
-        .process
-        .as_mut()
-        .expect("it runs")
-        .signal("TERM");
+    let stopped_at = Instant::now() + Duration::from_millis(case.since.unwrap_or(0));
+    let end = stopped_at + Duration::from_secs(case.grace_secs);
+    let mut is_signalled = false;
     let mut running = Vec::new();
-    while stopped_at.elapsed() < Duration::from_secs(case.grace_secs) {
+    while Instant::now() < end {
+        if !is_signalled && Instant::now() >= stopped_at {
+            is_signalled = true;
+            let process = site.gateways[0].process.as_ref().expect("it runs");
+            process.signal("TERM");
+        }
         let id = format!("during-{}", running.len());
         let connection = match running.len() % 2 {
             0 => connections.pop(),
             _ => None,
         };
-        let sending = send(case.clone(), connection, host, id, Some(stopped_at));
+        let sending = send(case.clone(), connection, host, id, stopped_at);
         running.push(smol::spawn(sending));
-        Timer::after(REQUEST_INTERVAL).await;
+        Timer::after(Duration::from_millis(case.interval)).await;
     }
     let mut all_ended = Vec::new();
     for task in running {
@@ -207,6 +216,8 @@
             work: 2500..7500,
             limit: 8900,
             served_until: 0,
+            interval: 100,
+            since: None,
         },
         Case {
             name: "short requests with a long limit",
@@ -215,6 +226,8 @@
             work: 100..300,
             limit: 8900,
             served_until: 4900,
+            interval: 100,
+            since: None,
         },
         Case {
             name: "requests with a short limit",
@@ -223,6 +236,8 @@
             work: 100..300,
             limit: 1000,
             served_until: 4400,
+            interval: 100,
+            since: None,
         },
         Case {
             name: "requests as long as the grace period",
@@ -231,6 +246,18 @@
             work: 4000..8500,
             limit: 8900,
             served_until: 0,
+            interval: 100,
+            since: None,
+        },
+        Case {
+            name: "long once-only requests, of which only short ones have ended",
+            grace_secs: 10,
+            prefix: "/once/",
+            work: 2500..7500,
+            limit: 8900,
+            served_until: 0,
+            interval: 10,
+            since: Some(800),
         },
     ];
     site::play_all(cases.into_iter().map(play));
