Drop line breaks before a request as they come

Cause: Connection::wait_for_request kept them, and looked through all of them after each read.

Change: what it has seen is dropped before it reads on.

--- a/src/message/connection.rs
+++ b/src/message/connection.rs
@@ -139,6 +139,7 @@
     /// Waits for the first byte of the next request; returns `false` if the peer closes first
     pub async fn wait_for_request(&mut self) -> io::Result<bool> {
         while !self.has_partial_request() {
+            self.consume(self.buffer.len());
             if self.fill().await? == 0 {
                 return Ok(false);
             }
--- a/src/message/tests/mod.rs
+++ b/src/message/tests/mod.rs
@@ -358,3 +358,14 @@
         });
     }
 }
+
+// Line breaks before a request must not pile up.
+#[test]
+fn line_breaks_before_a_request_are_kept() {
+    smol::block_on(async {
+        let mut connection = connect_to_sender(vec![b"\r\n".repeat(32 << 10)]).await;
+        let deadline = Instant::now() + std::time::Duration::from_millis(500);
+        let _ = timeout(deadline, connection.wait_for_request()).await;
+        assert!(!connection.has_unread_bytes());
+    });
+}
