Stand-in endpoint: true refusals at a ratio, and copies of them later

Cause: no endpoint of the tests refused a request truly and sent that refusal once more while the same request was under way again on the connection; only copies of answers to other requests were played. Change: platform::standin::copies keeps what a connection still owes: a copy of a refusal goes before the next answer, or before the answer to the same attempt when it comes again. Faults gets refusal_ratio and refusal_copies beside late_copies. Callers of the tests may try again under the same id after a refusal, on a new connection and after Retry-After, at most a third of the time left.

--- a/src/platform/standin/endpoint.rs
+++ b/src/platform/standin/endpoint.rs
@@ -13,6 +13,9 @@
 use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 
+pub use super::copies::{LateCopies, RefusalCopies};
+
+use super::copies::Pending;
 use super::lock;
 use crate::message::{Connection, Request};
 
@@ -53,18 +56,10 @@
     pub extra_header: Option<&'static str>,
     /// Second copies of answers, sent when the next request on the connection has arrived
     pub late_copies: LateCopies,
-}
-
-/// Second copies of answers
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum LateCopies {
-    /// None are sent
-    #[default]
-    None,
-    /// The same bytes once more
-    Exact,
-    /// Without the attempt id
-    WithoutId,
+    /// Ratio of requests that are refused and not executed
+    pub refusal_ratio: f64,
+    /// Second copies of all refusals that say "not executed"
+    pub refusal_copies: RefusalCopies,
 }
 
 /// Fixed properties of an endpoint
@@ -224,12 +219,14 @@
         let Ok(mut connection) = Connection::new(stream) else {
             return;
         };
-        let mut late_copy: Option<Vec<u8>> = None;
+        let mut copies = Pending::default();
         while let Ok(request) = connection.read_request(32 << 10).await {
             let Ok(body) = connection.read_body(request.length, MAX_BODY_BYTES).await else {
                 return;
             };
-            if let Some(copy) = late_copy.take() {
+            let attempt_id = request.headers.get("Attempt-Id").unwrap_or_default();
+            let copy = copies.take(attempt_id);
+            if !copy.is_empty() {
                 let deadline = Instant::now() + Duration::from_secs(1);
                 if connection.write(&copy, deadline).await.is_err() {
                     return;
@@ -257,17 +254,13 @@
             let server_limit = lock(&self.state).faults.server_limit;
             if let Some(limit) = server_limit {
                 insert_header(&mut bytes, &format!("Server-Limit: {limit}\r\n"));
-                let attempt_id = request.headers.get("Attempt-Id").unwrap_or_default();
                 let answer = (attempt_id.to_owned(), Instant::now());
                 lock(&self.state).limit_answers.push(answer);
             }
             let deadline = Instant::now() + Duration::from_secs(10);
             let is_complete = bytes.ends_with(BODY_END);
-            late_copy = match lock(&self.state).faults.late_copies {
-                LateCopies::None => None,
-                LateCopies::Exact => Some(bytes.clone()),
-                LateCopies::WithoutId => Some(without_header(&bytes, "Attempt-Id: ")),
-            };
+            let faults = lock(&self.state).faults;
+            copies.add(&faults, attempt_id, &bytes);
             if connection.write(&bytes, deadline).await.is_err() || !is_complete {
                 return;
             }
@@ -312,7 +305,8 @@
                 format!("Attempt-Id: {attempt_id}\r\nNot-Executed: 1\r\nRetry-After: {text}\r\n");
             return Some(encode_response(503, &headers, b""));
         }
-        if !self.acquire_slot().await {
+        let refusal_ratio = lock(&self.state).faults.refusal_ratio;
+        if fastrand::f64() < refusal_ratio || !self.acquire_slot().await {
             let headers = format!("Attempt-Id: {attempt_id}\r\nNot-Executed: 1\r\n");
             return Some(encode_response(503, &headers, b""));
         }
@@ -425,22 +419,6 @@
     }
 }
 
-/// Returns a response without the header line that begins with `name`
-fn without_header(bytes: &[u8], name: &str) -> Vec<u8> {
-    let position = |pattern: &[u8], from: usize| {
-        let found = bytes[from..]
-            .windows(pattern.len())
-            .position(|part| part == pattern);
-        found.map(|offset| from + offset)
-    };
-    let start = position(name.as_bytes(), 0);
-    let end = start.and_then(|start| position(b"\r\n", start));
-    match (start, end) {
-        (Some(start), Some(end)) => [&bytes[..start], &bytes[end + 2..]].concat(),
-        _ => bytes.to_vec(),
-    }
-}
-
 fn encode_response(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
     let body = if body.is_empty() { BODY_END } else { body };
     let head = format!(
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -3,6 +3,7 @@
 //! They run in the process of the test, which controls them by method calls. They belong to this
 //! folder because they use the names that the platform defines.
 
+mod copies;
 pub mod endpoint;
 pub mod store;
 
--- a/tests/site/client.rs
+++ b/tests/site/client.rs
@@ -43,6 +43,19 @@
     end: Instant,
     pause: Duration,
     log: AttemptLog,
+) {
+    send_with_tries(1, gateway, seed, end, pause, log).await;
+}
+
+/// Sends requests as [`send_requests`] does; after a refusal it waits as told and tries again under the
+/// same id, `tries` times in all
+pub async fn send_with_tries(
+    tries: usize,
+    gateway: SocketAddr,
+    seed: u64,
+    end: Instant,
+    pause: Duration,
+    log: AttemptLog,
 ) {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut idle_connection = None;
@@ -51,29 +64,57 @@
         number += 1;
         let at_most_once = rng.f64() < 0.3;
         let object = rng.u32(..20);
-        let attempt = Attempt {
-            id: format!("{seed:x}-{number}"),
-            at_most_once,
-            object,
-            gateway,
-            sent_at: Instant::now(),
-            result: Err("no connection"),
-        };
-        let result = exchange(&mut idle_connection, &attempt).await;
-        if result.is_err() {
+        let id = format!("{seed:x}-{number}");
+        let deadline = Instant::now() + REQUEST_TIMEOUT;
+        for left in (0..tries).rev() {
+            let attempt = Attempt {
+                id: id.clone(),
+                at_most_once,
+                object,
+                gateway,
+                sent_at: Instant::now(),
+                result: Err("no connection"),
+            };
+            let answer = exchange(&mut idle_connection, &attempt, deadline).await;
+            if answer.is_err() {
+                idle_connection = None;
+            }
+            let result = answer.map(|answer| answer.status);
+            log.lock()
+                .expect("no panic")
+                .push(Attempt { result, ..attempt });
+            let Ok(Answer {
+                status: 408 | 421 | 429 | 503,
+                retry_after,
+            }) = answer
+            else {
+                break;
+            };
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            if left == 0 || time_left.is_zero() {
+                break;
+            }
+            Timer::after(retry_after.min(time_left / 3)).await;
+            // Callers try again on a new connection.
             idle_connection = None;
         }
-        log.lock()
-            .expect("no panic")
-            .push(Attempt { result, ..attempt });
         Timer::after(pause.mul_f64(0.5 + rng.f64())).await;
     }
 }
 
+/// What a caller heeds of an answer
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    status: u16,
+    /// Time after which the request may be sent again
+    retry_after: Duration,
+}
+
 async fn exchange(
     idle_connection: &mut Option<Connection>,
     attempt: &Attempt,
-) -> Result<u16, &'static str> {
+    deadline: Instant,
+) -> Result<Answer, &'static str> {
     let mut connection = match idle_connection.take() {
         Some(connection) if connection.is_idle().await => connection,
         _ => Connection::connect(attempt.gateway, Duration::from_secs(1))
@@ -93,9 +134,11 @@
         "{method} {path}{object} HTTP/1.1\r\nHost: {HOST_NAME}\r\nAttempt-Id: {}\r\n\
          Cookie: Affinity-Key={object}\r\nRequest-Deadline: {}\r\n{length}\r\n{body}",
         attempt.id,
-        REQUEST_TIMEOUT.as_millis(),
+        deadline
+            .saturating_duration_since(Instant::now())
+            .as_millis(),
     );
-    let deadline = Instant::now() + REQUEST_TIMEOUT + Duration::from_secs(1);
+    let deadline = deadline + Duration::from_secs(1);
     connection
         .write(request.as_bytes(), deadline)
         .await
@@ -128,5 +171,11 @@
     if response.keep_alive {
         *idle_connection = Some(connection);
     }
-    Ok(response.status)
+    let retry_after = response.headers.get("Retry-After");
+    let retry_after = retry_after.and_then(|text| text.parse().ok());
+    let retry_after = retry_after.and_then(|secs| Duration::try_from_secs_f64(secs).ok());
+    Ok(Answer {
+        status: response.status,
+        retry_after: retry_after.unwrap_or_default(),
+    })
 }
