Keep the read buffer of a connection out of its tasks

Cause: the array of 8 KiB into which a connection reads lived across an await, so it was part of every task that waits for bytes, several times where a future is moved into another. Change: the array lives on the stack of the poll only. What is buffered for each of them is not bounded yet.

--- a/src/message/connection.rs
+++ b/src/message/connection.rs
@@ -1,13 +1,15 @@
 //! TCP connection with a buffer of received bytes that no message has consumed yet.
 
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Poll, ready};
 use std::time::{Duration, Instant};
 
 use smol::Timer;
 use smol::future::{FutureExt, poll_once};
-use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::io::{AsyncRead, AsyncWriteExt};
 use smol::net::TcpStream;
 
 use super::{Error, Length, MAX_RESPONSE_HEAD_BYTES, Request, Response};
@@ -344,10 +346,15 @@
 
     /// Reads from the socket into the buffer; returns 0 at the end of the stream
     async fn fill(&mut self) -> io::Result<usize> {
-        let mut received = [0; READ_BYTES];
-        let count = self.stream.read(&mut received).await?;
-        self.buffer.extend_from_slice(&received[..count]);
-        Ok(count)
+        poll_fn(|context| {
+            // An array that lives across an await is part of every task that reads.
+            let mut received = [0; READ_BYTES];
+            let stream = Pin::new(&mut self.stream);
+            let count = ready!(stream.poll_read(context, &mut received))?;
+            self.buffer.extend_from_slice(&received[..count]);
+            Poll::Ready(Ok(count))
+        })
+        .await
     }
 
     fn consume(&mut self, count: usize) {
