Bound the memory of all requests of a host together

Callers saw: their requests end with the process. A host kept up to 192 KiB of each answer whose caller did not read, so slow callers times what is buffered for each ended it, at endless answers as at large sound ones. limits.memory_mb was read and used nowhere.

Change: one budget for requests, two fifths of memory_mb (budget::memory). Each request in flight holds 16 KiB, buffered starts of answers and request bodies hold their bytes. From a quarter of the budget on nothing is buffered that serves only a retry: answers are relayed from their first piece on, bodies of more than 4 KiB are streamed. Beyond the budget new requests are refused with 503 and Retry-After; what was admitted goes on. What a caller's socket has taken is released at once (it was kept until the end of the answer).

Test: slow_readers, one host, memory_mb 160, callers that read nothing for 4 s; a length of 1 TB, a body until close, 1 MiB that ends.

--- /dev/null
+++ b/src/budget/memory_tests.rs
@@ -0,0 +1,69 @@
+use std::rc::Rc;
+
+use super::memory::{Budget, Hold, Level};
+
+#[derive(Debug)]
+struct Case {
+    /// Bytes of the holders, in kB
+    held_kb: &'static [usize],
+    level: Level,
+}
+
+/// Memory limit of the process, of which 40,000 kB are for requests
+const MEMORY_BYTES: u64 = 100_000 << 10;
+
+#[test]
+fn short_memory_buffers_for_retries_or_admits_requests() {
+    let cases = [
+        Case {
+            held_kb: &[],
+            level: Level::Ample,
+        },
+        Case {
+            held_kb: &[4_000, 6_000],
+            level: Level::Ample,
+        },
+        Case {
+            held_kb: &[4_000, 6_001],
+            level: Level::Tight,
+        },
+        Case {
+            held_kb: &[10_000, 30_000],
+            level: Level::Tight,
+        },
+        Case {
+            held_kb: &[10_000, 30_001],
+            level: Level::Short,
+        },
+        Case {
+            held_kb: &[50_000, 50_000],
+            level: Level::Short,
+        },
+    ];
+    for case in cases {
+        let budget = Rc::new(Budget::new(MEMORY_BYTES));
+        let holds = case.held_kb.iter().map(|kb| Hold::new(&budget, kb << 10));
+        let holds: Vec<Hold> = holds.collect();
+        assert_eq!(budget.level(), case.level, "{case:?}");
+        assert_eq!(budget.allows_buffers(), case.level == Level::Ample);
+        assert_eq!(budget.admits(), case.level != Level::Short);
+        drop(holds);
+        assert_eq!((budget.held(), budget.level()), (0, Level::Ample));
+    }
+}
+
+#[test]
+fn released_bytes_stay_held() {
+    let budget = Rc::new(Budget::new(MEMORY_BYTES));
+    let mut first = Hold::new(&budget, 100);
+    let second = Hold::new(&budget, 50);
+    first.set(400);
+    assert_eq!(budget.held(), 450);
+    first.set(0);
+    assert_eq!(budget.held(), 50);
+    drop(second);
+    first.set(7);
+    assert_eq!(budget.held(), 7);
+    drop(first);
+    assert_eq!(budget.held(), 0);
+}
--- a/src/budget/mod.rs
+++ b/src/budget/mod.rs
@@ -1,4 +1,5 @@
-//! Token buckets that limit rates: moved requests into a zone, and bytes over a link.
+//! Token buckets that limit rates: moved requests into a zone, and bytes over a link; and the memory
+//! that requests may take.
 //!
 //! A [`TokenBucket`] starts empty and never grants more than its rate times its window within any
 //! window. When a host is replaced, the budgets of the old and the new host therefore add up to no
@@ -7,6 +8,9 @@
 use std::time::{Duration, Instant};
 
 pub mod link;
+pub mod memory;
+#[cfg(test)]
+mod memory_tests;
 #[cfg(test)]
 mod tests;
 
--- a/src/gateway/accept.rs
+++ b/src/gateway/accept.rs
@@ -20,6 +20,7 @@
 use super::reply::{self, Refusal, Reply};
 use super::upload::{PREFIX_BYTES, Upload};
 use super::{Gateway, supervise};
+use crate::budget::memory::{Hold, REQUEST_BYTES};
 use crate::message::{Connection, Error, Length, Request, timeout};
 use crate::platform::header;
 
@@ -238,8 +239,13 @@
         mut length: Length,
         arrived: Instant,
     ) -> ConnectionState {
+        let mut memory = Hold::new(&self.gateway.memory, REQUEST_BYTES);
+        let allows_buffers = self.gateway.memory.allows_buffers();
         let max_bytes = match length {
-            Length::Bytes(length) if length <= MAX_BUFFERED_BODY_BYTES => usize::MAX,
+            Length::Bytes(length) if length <= MAX_BUFFERED_BODY_BYTES && allows_buffers => {
+                memory.set(REQUEST_BYTES + length as usize);
+                usize::MAX
+            }
             _ => PREFIX_BYTES,
         };
         let body_timeout =
@@ -247,7 +253,7 @@
         let body = self.read_body_start(&mut length, max_bytes);
         match timeout(arrived + body_timeout, body).await {
             Some(Ok(body)) if length == Length::Bytes(0) => {
-                self.run_buffered(request, body, arrived).await
+                self.run_buffered(request, body, arrived, memory).await
             }
             Some(Ok(prefix)) => self.run_streamed(request, &prefix, length, arrived).await,
             Some(Err(_)) | None => ConnectionState::Closed,
@@ -288,6 +294,7 @@
         request: Request,
         body: Vec<u8>,
         arrived: Instant,
+        memory: Hold,
     ) -> ConnectionState {
         let slot = self.next_slot();
         let gateway = self.gateway.clone();
@@ -295,7 +302,7 @@
         let spawner = gateway.clone();
         let guard = CountGuard::new(&gateway, |gateway| &gateway.running_requests);
         let task = spawner.spawn(async move {
-            let _guard = guard;
+            let _guard = (guard, memory);
             let mut upload = Upload::Buffered(&body);
             let reply = run_request(&gateway, &request, &mut upload, arrived).await;
             write_answer(&gateway, slot, &request, reply, !keep_alive).await;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -16,6 +16,7 @@
 use super::stream::RemainingBody;
 use super::upload::{SendError, Upload};
 use super::{Gateway, advice};
+use crate::budget::memory::Hold;
 use crate::catalog::Endpoint;
 use crate::id::RouteId;
 use crate::message::{Connection, Request, Response, timeout};
@@ -108,6 +109,8 @@
     pub body: Vec<u8>,
     /// Part of the body that is still to be read
     pub remaining: Option<RemainingBody>,
+    /// Memory of the buffered part
+    pub memory: Hold,
 }
 
 /// Request in flight at an endpoint; counts as cancelled if it is dropped before it is finished
--- a/src/gateway/exchange/receive.rs
+++ b/src/gateway/exchange/receive.rs
@@ -8,7 +8,8 @@
 use super::super::{Gateway, advice};
 use super::{EndpointAnswer, Failure, InFlight, Limits, Refused, pool_outcome};
 use crate::answer::Verdict;
-use crate::message::{self, Connection, Request, Response, timeout};
+use crate::budget::memory::Hold;
+use crate::message::{self, Connection, Length, Request, Response, timeout};
 use crate::placement::Outcome;
 use crate::platform::header;
 
@@ -84,8 +85,11 @@
         None => deadline,
     };
     let mut body = Vec::new();
+    let mut memory = Hold::new(&gateway.memory, 0);
     let is_complete = loop {
-        if body.len() >= MAX_BUFFERED_BYTES {
+        memory.set(body.capacity());
+        let may_buffer = gateway.memory.allows_buffers() || length == Length::Bytes(0);
+        if body.len() >= MAX_BUFFERED_BYTES || !(may_buffer || body.is_empty()) {
             break false;
         }
         let piece = timeout(deadline, connection.read_body_part(&mut length)).await;
@@ -116,6 +120,7 @@
             head,
             body,
             remaining: None,
+            memory,
         });
     }
     let remaining = RemainingBody::new(connection, length, in_flight, stream_limits, body.len());
@@ -123,6 +128,7 @@
         head,
         body,
         remaining: Some(remaining),
+        memory,
     })
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -27,6 +27,9 @@
 /// Reason of the refusal of a request that would not end before this host does
 const STOPPING: &str = "host is stopping";
 
+/// Time after which callers that were refused as memory is short may retry
+const MEMORY_PAUSE: Duration = Duration::from_secs(1);
+
 /// Maximum number of attempts that certainly did not run, in addition to those that ran
 const MAX_NOT_RUN_ATTEMPTS: u32 = 2;
 
@@ -91,6 +94,9 @@
     arrived: Instant,
 ) -> Result<Dispatch<'a>, Refusal> {
     header::check_request(&request.headers).map_err(|reason| Refusal::new(400, reason))?;
+    if !gateway.memory.admits() {
+        return Err(Refusal::not_run("memory is short", MEMORY_PAUSE));
+    }
     let Some(configuration) = gateway.configuration() else {
         return Err(Refusal::not_run(
             "no configuration",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{LocalExecutor, Task};
 
+use crate::budget::memory::{self, Level};
 use crate::catalog::Catalog;
 use crate::drain::{Grace, Longest};
 use crate::fleet::{self, Fleet};
@@ -149,6 +150,10 @@
     stop: Cell<Option<Grace>>,
     /// Longest recent attempts of requests
     longest: RefCell<Longest>,
+    /// Memory that requests may take
+    memory: Rc<memory::Budget>,
+    /// Level of that memory that was logged last
+    memory_level: Cell<Level>,
     /// Number of open connections from callers
     open_connections: Cell<usize>,
     /// Number of requests in flight
@@ -162,6 +167,8 @@
         Self {
             fleet: RefCell::new(Fleet::new(settings.host.clone())),
             catalog: RefCell::new(Catalog::with_drain_time(settings.drain_time)),
+            memory: Rc::new(memory::Budget::new(settings.memory_bytes)),
+            memory_level: Cell::default(),
             settings: RefCell::new(settings),
             incarnation: fastrand::u64(1..),
             started_at: Instant::now(),
@@ -211,6 +218,21 @@
         let _ = self.urgent_news.0.try_send(());
     }
 
+    /// Logs the level of the memory for requests if it has changed
+    fn record_memory_level(&self) {
+        let level = self.memory.level();
+        if self.memory_level.replace(level) == level {
+            return;
+        }
+        let fields = [
+            ("level", level.name().into()),
+            ("held", self.memory.held().into()),
+            ("limit", self.memory.limit().into()),
+            ("running", self.running_requests.get().into()),
+        ];
+        self.recorder.event("request-memory", &fields);
+    }
+
     /// Returns whether requests can be served
     pub fn is_ready(&self) -> bool {
         let is_configured =
--- a/src/gateway/probe.rs
+++ b/src/gateway/probe.rs
@@ -31,6 +31,7 @@
         gateway.idle_connections.borrow_mut().expire(now);
         gateway.expire_cold_buckets(now);
         gateway.maintain_limits(now);
+        gateway.record_memory_level();
         gateway.expire_affinity_keys(now);
         gateway.quarantine.borrow_mut().expire(now);
         let due = gateway.pool.borrow_mut().due_probes(now);
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -140,6 +140,7 @@
         }
         let mut bytes = encode_head(status, &headers, close);
         bytes.extend_from_slice(&answer.body);
+        drop(answer.body);
         return send(writer, &bytes).await;
     };
     let length = remaining.total_length();
@@ -152,6 +153,7 @@
     let mut bytes = encode_head(status, &headers, close);
     bytes.extend_from_slice(&encode(answer.body));
     send_before(writer, &bytes, remaining.deadline()).await?;
+    drop((bytes, answer.memory));
     loop {
         // A fast endpoint and a fast caller never make this task wait.
         smol::future::yield_now().await;
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -51,6 +51,9 @@
 /// Service that no route leads to
 pub const OTHER_SERVICE: &str = "library";
 
+/// Memory limit of the hosts, in MB; that of the smallest ones
+pub const MEMORY_MB: u64 = 160;
+
 /// Name of the host in requests
 pub const HOST_NAME: &str = "portal.example";
 
@@ -329,7 +332,7 @@
              internal_ports: [7720, 7735]\nseeds: [{seeds}]\n\
              bounds: {{grace_s: {grace}, retry_ratio: 0.2, retry_window_s: 10, retry_slack: {slack}, \
              config_apply_ms: {apply}}}\n\
-             platform: {{address: \"{store}\"}}\n",
+             platform: {{address: \"{store}\"}}\nlimits: {{memory_mb: {MEMORY_MB}}}\n",
             name = gateway.name,
             region = gateway.region,
             seeds = seeds.join(", "),
