End endless chunk sizes and bodies of upstreams at the deadline

Callers of pier-entry saw: no answer, and its thread was busy, as long as an upstream sent zeros as a chunk size. The decoder of async-h1 reads chunk sizes in one poll, byte by byte, and a size of zeros never overflows; while bytes are always there, the poll does not end and no deadline is seen. By reading, a body whose next bytes are always there was not ended by the deadline either.

Change: the connection under the decoder lets other tasks run after each 16 reads of a chunked body; a body checks its deadline before each chunk.

--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -236,6 +236,10 @@
         if self.is_complete {
             return Ok(None);
         }
+        // Nothing else ends a body whose next bytes are always there.
+        if Instant::now() >= self.deadline {
+            return Err(Error::TimedOut(self.address));
+        }
         let mut chunk = vec![0; CHUNK_BYTES];
         let read = with_deadline(self.deadline, self.reader.read(&mut chunk)).await;
         let read = read.ok_or(Error::TimedOut(self.address))?;
--- a/src/upstream/tap.rs
+++ b/src/upstream/tap.rs
@@ -20,6 +20,12 @@
 /// Maximum number of bytes per read from the socket while reading the head
 const READ_BYTES: usize = 8 * 1024;
 
+/// Number of reads of a chunked body after which other tasks run
+///
+/// The decoder of `async-h1` reads chunk sizes and trailers in one poll; deadlines would not be
+/// seen while an upstream sends as fast as it is read.
+const READS_PER_YIELD: u32 = 16;
+
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Clonable connection with the state of one response
@@ -34,6 +40,8 @@
     phase: Phase,
     head: Vec<u8>,
     buffered: Vec<u8>,
+    /// Number of reads of a chunked body since other tasks ran
+    reads: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +58,7 @@
             phase: Phase::Head,
             head: Vec::new(),
             buffered: Vec::new(),
+            reads: 0,
         };
         Self {
             stream,
@@ -102,6 +111,11 @@
         self.check_ascii(end - previous_length)
     }
 
+    fn is_yield_due(&mut self) -> bool {
+        self.reads = (self.reads + 1) % READS_PER_YIELD;
+        self.reads == 0
+    }
+
     /// Returns `count` if the head is ASCII; `http_types` panics on other header values
     fn check_ascii(&self, count: usize) -> io::Result<usize> {
         if !self.head.is_ascii() {
@@ -124,6 +138,10 @@
         let phase = self.lock().phase;
         let limit = match phase {
             Phase::Head => return self.poll_head(context, buffer),
+            Phase::Chunked if self.lock().is_yield_due() => {
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
             Phase::Chunked => buffer.len(),
             Phase::Body(remaining) => buffer
                 .len()
--- a/src/upstream/tests.rs
+++ b/src/upstream/tests.rs
@@ -360,3 +360,37 @@
         });
     }
 }
+
+#[test]
+fn endless_chunk_sizes_and_trailers_outlast_the_deadline() {
+    let cases: [(&str, &str); 4] = [
+        ("chunk size", "0"),
+        ("chunk extension", "5;a"),
+        ("trailers", "0\r\nA: b\r\nA: b\r\n"),
+        ("chunks", "1\r\nx\r\n"),
+    ];
+    for (name, repeated) in cases {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let server = std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            let block = repeated.repeat(16 << 10);
+            let end = Instant::now() + REQUEST_TIMEOUT * 5;
+            let mut written = std::io::Write::write_all(&mut stream, head.as_bytes());
+            while written.is_ok() && Instant::now() < end {
+                written = std::io::Write::write_all(&mut stream, block.as_bytes());
+            }
+        });
+        let client = Client::new();
+        let started = Instant::now();
+        let outcome = smol::block_on(send(&client, address, "GET"));
+        let elapsed = started.elapsed();
+        assert!(
+            matches!(outcome, Outcome::TimedOut | Outcome::Invalid),
+            "{name}: {outcome:?}"
+        );
+        assert!(elapsed < REQUEST_TIMEOUT * 2, "{name}: {elapsed:?}");
+        server.join().unwrap();
+    }
+}
