--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,6 +17,7 @@
 use super::upload::{SendError, Upload};
 use super::{Gateway, advice, idle};
 use crate::answer::Distinction;
+use crate::budget::memory::Hold;
 use crate::catalog::Endpoint;
 use crate::id::RouteId;
 use crate::message::{Connection, Request, Response, timeout};
@@ -109,6 +110,8 @@
     pub body: Vec<u8>,
     /// Part of the body that is still to be read
     pub remaining: Option<RemainingBody>,
+    /// Memory of the buffered part
+    pub memory: Hold,
 }
 
 /// Request in flight at an endpoint; counts as cancelled if it is dropped before it is finished
--- a/src/message/connection.rs
+++ b/src/message/connection.rs
@@ -1,13 +1,15 @@
 //! TCP connection with a buffer of received bytes that no message has consumed yet.
 
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use smol::Timer;
 use smol::future::{FutureExt, poll_once, yield_now};
-use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::io::{AsyncRead, AsyncWriteExt};
 use smol::net::TcpStream;
 
 use super::{Error, Length, MAX_RESPONSE_HEAD_BYTES, Request, Response};
@@ -356,19 +358,21 @@
             self.ready_reads = 0;
             yield_now().await;
         }
-        let mut received = [0; READ_BYTES];
-        let mut read = self.stream.read(&mut received);
-        let count = match poll_once(&mut read).await {
-            Some(count) => {
-                self.ready_reads += 1;
-                count?
-            }
-            None => {
-                self.ready_reads = 0;
-                read.await?
-            }
-        };
-        self.buffer.extend_from_slice(&received[..count]);
+        let mut has_waited = false;
+        let count = poll_fn(|context| {
+            // An array that lives across an await is part of every task that reads.
+            let mut received = [0; READ_BYTES];
+            let stream = Pin::new(&mut self.stream);
+            let Poll::Ready(count) = stream.poll_read(context, &mut received) else {
+                has_waited = true;
+                return Poll::Pending;
+            };
+            let count = count?;
+            self.buffer.extend_from_slice(&received[..count]);
+            Poll::Ready(io::Result::Ok(count))
+        })
+        .await?;
+        self.ready_reads = if has_waited { 0 } else { self.ready_reads + 1 };
         Ok(count)
     }
 
