Close a connection that may carry no more requests

Found by review, before it landed: connections that had carried 256 requests went back to the idle list, where nothing takes them.

Change: such a connection is not kept. The log line repeated-id and its counter say that a connection was passed over.

--- a/src/answer/history.rs
+++ b/src/answer/history.rs
@@ -53,7 +53,7 @@
     }
 
     /// Returns whether the connection has carried as many requests as it may
-    fn is_full(&self) -> bool {
+    pub fn is_full(&self) -> bool {
         self.requests >= MAX_REQUESTS
     }
 
--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -49,8 +49,9 @@
     match (evidence.distinction, evidence.sent_id, evidence.stated_ids) {
         (_, _, [_, _, ..]) => return Verdict::Unclear("answer with several attempt ids"),
         (_, Some(sent), [stated]) if sent != *stated => return Verdict::Foreign,
+        // Callers of this function send no such request; this holds if one of them errs.
         (Distinction::None, ..) => {
-            return Verdict::Unclear("attempt id that the connection has carried before");
+            return Verdict::Unclear("answer that an earlier one could be");
         }
         (Distinction::Id, _, []) => return Verdict::Unclear("answer without an attempt id"),
         (Distinction::First, Some(_), []) if evidence.skipped > 0 => {
--- a/src/gateway/exchange/receive.rs
+++ b/src/gateway/exchange/receive.rs
@@ -168,7 +168,8 @@
 ) {
     // A copy of an answer without an id could not be told from a later one.
     let states_id = header::attempt_id(&head.headers).is_some();
-    if !head.keep_alive || !states_id || connection.stream.has_unread_bytes() {
+    let may_go_on = head.keep_alive && states_id && !connection.history.is_full();
+    if !may_go_on || connection.stream.has_unread_bytes() {
         return;
     }
     let keep_alive = header::keep_alive_timeout(&head.headers);
--- a/src/gateway/idle.rs
+++ b/src/gateway/idle.rs
@@ -74,10 +74,8 @@
 
     /// Returns whether a connection to an address has carried a request with this id
     pub fn has_carried(&self, address: SocketAddr, id: &str) -> bool {
-        let connections = self.0.get(&address).into_iter().flatten();
-        connections
-            .into_iter()
-            .any(|idle| idle.connection.history.has_carried(id))
+        let mut connections = self.0.get(&address).into_iter().flatten();
+        connections.any(|idle| idle.connection.history.has_carried(id))
     }
 
     /// Takes the newest connection that may carry a request with this id, if it was idle for at most
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -83,7 +83,7 @@
             ),
             repeated_ids: counter(
                 "pier_gate_repeated_ids",
-                "Attempts for which a kept connection had carried their id before",
+                "Attempts for which a kept connection was passed over, as it had carried their id",
             ),
             broken_off: counter(
                 "pier_gate_answers_broken_off",
@@ -156,7 +156,7 @@
         self.refused.add(1, &labels);
     }
 
-    /// Counts a request whose id its connection had carried before
+    /// Counts a request for which a kept connection was passed over, as it had carried the id
     pub fn count_repeated_id(&self) {
         self.repeated_ids.add(1, &[]);
     }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -186,7 +186,7 @@
             Verdict::Own | Verdict::NotRun => {}
         }
         // Copies of a refusal, or of a response without an id, may still come on its connection.
-        let is_kept = verdict == Verdict::Own && !stated_ids.is_empty();
+        let is_kept = verdict == Verdict::Own && !stated_ids.is_empty() && !history.is_full();
         let history = is_kept.then_some(history);
         let length = body_length(&request.method, &response).map_err(|text| invalid(&text))?;
         connection.set_body_length(length);
--- a/src/upstream/tests/mod.rs
+++ b/src/upstream/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Handling of complete, truncated and malformed upstream responses over real sockets.
 
 mod copies;
+mod reuse;
 mod uploads;
 
 use std::net::SocketAddr;
