Believe no refusal without the id of its request

Cause: a refusal without an id was believed on a new connection. Endpoints state the id in all their answers, so one without it may be a copy or what is left of another answer. Connections are new more often since none is kept after a refusal.

--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -159,13 +159,18 @@
     let Ok(stated_ids) = response.headers.texts(ATTEMPT_ID) else {
         return Verdict::Unclear("unreadable attempt id");
     };
+    let sent_id = attempt_id(&request.headers);
+    let refusals = refusals(response, endpoint);
+    if refusals > 0 && sent_id.is_some() && stated_ids.is_empty() {
+        return Verdict::Unclear("refusal without an attempt id");
+    }
     answer::judge(&Evidence {
-        sent_id: attempt_id(&request.headers),
+        sent_id,
         stated_ids: &stated_ids,
         distinction,
         skipped,
         status: response.status,
-        refusals: refusals(response, endpoint),
+        refusals,
     })
 }
 
