Test: the copy of a refusal meets the next endpoint at its address

Two entries have one address, as an endpoint ended and another one has its place. A request that is refused there with 421 goes to the other entry, on the same connection, without any repeat by its caller.

--- a/tests/refused_copies.rs
+++ b/tests/refused_copies.rs
@@ -32,6 +32,12 @@
 /// Part of the requests that must be served where refusals cost no health check
 const MIN_SERVED_RATIO: f64 = 0.9;
 
+/// Endpoint that has ended, and whose address another one has
+const FORMER_ENDPOINT: &str = "i-former";
+
+/// Requests to endpoints one of which has the address of another entry
+const SHARED_ADDRESS_REQUESTS: usize = 300;
+
 /// When the copy of a refusal is written on its connection
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Copy {
@@ -240,6 +246,86 @@
     all.broken
 }
 
+/// Answers at one address for two entries: those of requests for the first one are refused, as its
+/// endpoint has ended, and the refusal comes once more before the answer of the second one
+async fn answer_for_two(
+    past: SharedPast,
+    request: Request,
+    mut connection: Connection,
+) -> Option<Connection> {
+    let deadline = Instant::now() + Duration::from_secs(2);
+    let mut length = request.length;
+    while let Ok(Some(_)) = connection.read_body_part(&mut length).await {}
+    if request.target.starts_with("/health") {
+        let healthy = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        connection.write(healthy, deadline).await.ok()?;
+        return Some(connection);
+    }
+    let id = raw::attempt_id(&request).to_owned();
+    let peer = connection.writer().peer_addr().ok()?;
+    let text = refusal(421, &id);
+    let is_refused = request.headers.get("Target-Instance") == Some(FORMER_ENDPOINT);
+    let is_copied = {
+        let mut past = past.lock().expect("no panic");
+        let refused = past.refused.entry(peer).or_default();
+        let is_copied = refused.contains(&id);
+        match is_refused {
+            true => refused.push(id.clone()),
+            false => *past.runs.entry(id).or_default() += 1,
+        }
+        is_copied
+    };
+    if is_refused || is_copied {
+        connection.write(text.as_bytes(), deadline).await.ok()?;
+    }
+    if is_refused {
+        return Some(connection);
+    }
+    Timer::after(SERVICE_TIME).await;
+    raw::succeed(request, connection).await
+}
+
+/// Plays endpoints that have the address of one that ended, whose entry still stands; each request is
+/// sent once
+async fn play_shared_address(endpoints: usize) -> Vec<String> {
+    let site = Site::start_with_retry_slack(1, 1, 10_000).await;
+    raw::remove_others(&site);
+    let past = SharedPast::default();
+    for number in 0..endpoints {
+        let past = past.clone();
+        let answer = move |request, connection| answer_for_two(past.clone(), request, connection);
+        let endpoint = RawEndpoint::start(&site, &format!("i-present-{number}"), answer).await;
+        endpoint.register(&site, "ready", 1);
+        if number == 0 {
+            let former = endpoint.spec("ready", 1);
+            site.store.write("servers", FORMER_ENDPOINT, former);
+        }
+    }
+    Timer::after(Duration::from_millis(1000)).await;
+    let host = SocketAddr::new(site.gateways[0].ip, 8161);
+    let mut broken = Vec::new();
+    let mut statuses = BTreeMap::new();
+    for number in 0..SHARED_ADDRESS_REQUESTS {
+        let id = format!("shared-{number}");
+        let status = send(host, "/once/x", &id).await.map(|(status, _)| status);
+        let runs = past.lock().expect("no panic").runs.get(&id).copied();
+        let says_not_run = matches!(status, Some(408 | 421 | 429 | 503));
+        if runs > Some(1) || (says_not_run && runs.is_some()) {
+            broken.push(format!(
+                "{endpoints} endpoints: {id}: {runs:?} runs, {status:?}"
+            ));
+        }
+        *statuses.entry(status).or_insert(0) += 1;
+        // The entry without an endpoint is used again after its health check.
+        Timer::after(Duration::from_millis(20)).await;
+    }
+    println!(
+        "{endpoints} endpoints, a shared address: {statuses:?}, {} broken",
+        broken.len()
+    );
+    broken
+}
+
 fn cases(copies: &[Copy], statuses: &[u16]) -> Vec<Case> {
     let mut cases = Vec::new();
     for copy in copies {
@@ -270,3 +356,9 @@
     let cases = cases(&copies, &[503]);
     site::play_all(cases.into_iter().map(play));
 }
+
+// The refusal for an endpoint that ended must not count as the answer of the one at its address.
+#[test]
+fn copy_of_a_refusal_says_that_the_next_endpoint_at_its_address_did_not_run() {
+    site::play_all([1, 2].into_iter().map(play_shared_address));
+}
