--- a/src/answer/history.rs
+++ b/src/answer/history.rs
@@ -16,7 +16,7 @@
     /// By the id, which the connection has not carried before
     Id,
     /// By nothing
-    None,
+    Ambiguous,
 }
 
 /// Requests that a connection has carried
@@ -38,13 +38,13 @@
         match id {
             _ if self.requests == 0 => Distinction::First,
             Some(id) if !self.has_carried(id) => Distinction::Id,
-            _ => Distinction::None,
+            _ => Distinction::Ambiguous,
         }
     }
 
     /// Returns whether a request with this id may be sent on the connection
     pub fn may_carry(&self, id: Option<&str>) -> bool {
-        !self.is_full() && self.distinction(id) != Distinction::None
+        !self.is_full() && self.distinction(id) != Distinction::Ambiguous
     }
 
     /// Returns whether a request with this id was sent on the connection
--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -50,7 +50,7 @@
         (_, _, [_, _, ..]) => return Verdict::Unclear("answer with several attempt ids"),
         (_, Some(sent), [stated]) if sent != *stated => return Verdict::Foreign,
         // Callers of this function send no such request; this holds if one of them errs.
-        (Distinction::None, ..) => {
+        (Distinction::Ambiguous, ..) => {
             return Verdict::Unclear("answer that an earlier one could be");
         }
         (Distinction::Id, _, []) => return Verdict::Unclear("answer without an attempt id"),
--- a/src/answer/tests/mod.rs
+++ b/src/answer/tests/mod.rs
@@ -68,7 +68,7 @@
         case(
             "refusal of an earlier try",
             own,
-            Distinction::None,
+            Distinction::Ambiguous,
             0,
             503,
             1,
@@ -77,7 +77,7 @@
         case(
             "success of an earlier try",
             own,
-            Distinction::None,
+            Distinction::Ambiguous,
             0,
             200,
             0,
@@ -135,19 +135,19 @@
             name: "the same id",
             carried: &[Some("a")],
             id: Some("a"),
-            expected: Distinction::None,
+            expected: Distinction::Ambiguous,
         },
         Case {
             name: "the same id, with others in between",
             carried: &[Some("a"), Some("b"), None, Some("c")],
             id: Some("a"),
-            expected: Distinction::None,
+            expected: Distinction::Ambiguous,
         },
         Case {
             name: "no id on a kept connection",
             carried: &[Some("a")],
             id: None,
-            expected: Distinction::None,
+            expected: Distinction::Ambiguous,
         },
     ];
     for case in cases {
@@ -156,7 +156,7 @@
             history.record(*id);
         }
         assert_eq!(history.distinction(case.id), case.expected, "{}", case.name);
-        let may_carry = case.expected != Distinction::None;
+        let may_carry = case.expected != Distinction::Ambiguous;
         assert_eq!(history.may_carry(case.id), may_carry, "{}", case.name);
     }
 }
--- a/src/answer/tests/model.rs
+++ b/src/answer/tests/model.rs
@@ -324,7 +324,7 @@
             host: Host {
                 judge: |evidence| {
                     let distinction = match evidence.distinction {
-                        Distinction::None => Distinction::Id,
+                        Distinction::Ambiguous => Distinction::Id,
                         distinction => distinction,
                     };
                     judge(&Evidence {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,7 +1,8 @@
 //! One attempt of a request at one endpoint.
 //!
 //! Failures that prove that the request did not run are kept apart from those that do not. A
-//! connection is reused only after a complete answer with no bytes behind it.
+//! connection is reused only after a complete answer that states the request's id, is no refusal and
+//! has no bytes behind it, and never for the same id.
 
 use std::io;
 use std::rc::Rc;
--- a/src/gateway/idle.rs
+++ b/src/gateway/idle.rs
@@ -19,7 +19,7 @@
 /// Connection to an endpoint
 #[derive(Debug)]
 pub struct Connection {
-    /// Open connection without unread bytes
+    /// Its bytes in both directions
     pub stream: message::Connection,
     /// What it has carried
     pub history: History,
--- a/src/upstream/idle.rs
+++ b/src/upstream/idle.rs
@@ -65,7 +65,8 @@
         while let Some(position) = connections.iter().rposition(may_carry) {
             let (connection, idle_since) = connections.remove(position);
             if now >= idle_since + max_idle.min(IDLE_TIMEOUT) {
-                connections.clear();
+                // Those before it have been idle for even longer.
+                connections.drain(..position);
                 break;
             }
             if is_reusable(&connection.stream) {
