A planned stop: expect a multiple of its age of a request that overruns

Cause: since the longest duration counts as unknown while any request runs for longer than those that ended, also by a few milliseconds; then only the caller's time limit counts.

Change: such a request is expected to last three times its age.

The unit table got the case of a request that is a little older (75 ms; unknown before).

--- a/src/drain/longest.rs
+++ b/src/drain/longest.rs
@@ -1,7 +1,7 @@
 //! Longest recent duration of each kind of request.
 //!
-//! While a request runs that is older than the longest one that ended, the longest duration is not
-//! known: soon after a start, only the short ones have ended.
+//! A request that runs for longer than any that ended is expected to last a multiple of its age: soon
+//! after a start, only the short ones have ended.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -14,6 +14,9 @@
 /// Number of requests below which the longest one says little about the next
 const MIN_SAMPLES: u32 = 20;
 
+/// Multiple of its age that a request may last which runs for longer than any that ended
+const OVERRUN_FACTOR: u32 = 3;
+
 /// Number and longest duration of the requests of one span
 #[derive(Clone, Copy, Debug, Default)]
 struct Span {
@@ -75,7 +78,7 @@
         recent.current.longest = recent.current.longest.max(duration);
     }
 
-    /// Returns the longest duration, `None` if few requests were seen lately or one runs for longer
+    /// Returns the longest duration to expect, `None` if few requests were seen lately
     pub fn get(&self, now: Instant, route: &RouteId) -> Option<Duration> {
         let mut recent = *self.recent.get(route)?;
         recent.advance(now);
@@ -83,7 +86,11 @@
         let requests: u32 = spans.iter().map(|span| span.requests).sum();
         let longest = spans.iter().map(|span| span.longest).max();
         let longest = longest.filter(|_| requests >= MIN_SAMPLES)?;
-        (self.oldest_age(now, route) <= longest).then_some(longest)
+        let oldest_age = self.oldest_age(now, route);
+        Some(match oldest_age > longest {
+            true => oldest_age * OVERRUN_FACTOR,
+            false => longest,
+        })
     }
 
     /// Returns the age of the running request that started first, zero if none runs
--- a/src/drain/tests.rs
+++ b/src/drain/tests.rs
@@ -401,7 +401,8 @@
         ended: u64,
         /// Ages in milliseconds of the requests that run
         running: &'static [u64],
-        expected: Option<u64>,
+        /// Duration in milliseconds that is expected
+        expected: u64,
     }
     const ENDED: usize = 20;
     let case = |name, ended, running, expected| Case {
@@ -411,10 +412,11 @@
         expected,
     };
     let cases = [
-        case("none runs", 4000, &[], Some(4000)),
-        case("younger ones", 4000, &[0, 3900, 4000], Some(4000)),
-        case("an older one", 4000, &[100, 4001, 300], None),
-        case("several older ones", 100, &[4400, 4400, 4300], None),
+        case("none runs", 4000, &[], 4000),
+        case("younger ones", 4000, &[0, 3900, 4000], 4000),
+        case("an older one", 4000, &[100, 4001, 300], 12_003),
+        case("several older ones", 100, &[4400, 4400, 4300], 13_200),
+        case("one that is a little older", 20, &[5, 25], 75),
     ];
     let now = Instant::now();
     let route = "r".into();
@@ -427,7 +429,7 @@
         let start = |age: &u64| longest.start(at(*age), &route);
         let starts: Vec<_> = case.running.iter().map(start).collect();
         longest.start(at(9000), &"other".into());
-        let expected = case.expected.map(Duration::from_millis);
+        let expected = Some(Duration::from_millis(case.expected));
         assert_eq!(longest.get(now, &route), expected, "{}", case.name);
         for start in starts {
             longest.end(&route, start);
