First checks of a large region: spread them over a quarter of the bound at most

Where the store refuses most hosts of a region, a host without a source checks the store itself, after a random time of up to 25 ms for each host of the region: 1.6 s with 65 hosts, 2.6 s with 104, 10 s with 400, where a change must be in force in 2 or 3 s. If only the last one to check is served, the whole region is late.

The spread is a quarter of that time at most.

The new unit test failed before (22 hosts: 550 ms of 500). Decision code only: not played with real processes in a large region.

--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -19,6 +19,9 @@
 /// Time per host of a region over which its hosts spread their first checks
 const FIRST_CHECK_SPREAD_PER_HOST: Duration = Duration::from_millis(25);
 
+/// Share of the time in which a change must be in force that this spread may take
+const MAX_FIRST_CHECK_SHARE: f64 = 0.25;
+
 /// Minimum and maximum time between further checks of such a host
 const RARE_INTERVAL: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(4));
 
@@ -42,6 +45,14 @@
     None,
 }
 
+/// Returns the time over which the hosts of a region spread their first checks
+///
+/// `apply_time` is the time in which a change must be in force at each of them.
+pub fn first_check_spread(hosts: usize, apply_time: Duration) -> Duration {
+    let max_spread = apply_time.mul_f64(MAX_FIRST_CHECK_SHARE);
+    (FIRST_CHECK_SPREAD_PER_HOST * hosts as u32).min(max_spread)
+}
+
 /// What is known of the store's answers to this host
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Contact {
@@ -89,12 +100,12 @@
 
     /// Returns when the store is to be checked next, `None` for not at all
     ///
-    /// `hosts` is the number of hosts of the region, `jitter` from 0 to 1 differs between hosts.
+    /// `spread` is that of first checks, `jitter` from 0 to 1 differs between hosts.
     pub fn next_check(
         &self,
         now: Instant,
         need: Need,
-        hosts: usize,
+        spread: Duration,
         jitter: f64,
     ) -> Option<Instant> {
         let between = |(min, max): (Duration, Duration)| min + (max - min).mul_f64(jitter);
@@ -106,7 +117,6 @@
                 Need::Reading => Some(after(READING_INTERVAL)),
                 Need::Standby => Some(after(STANDBY_INTERVAL)),
                 Need::NoSource(since) => {
-                    let spread = FIRST_CHECK_SPREAD_PER_HOST * hosts as u32;
                     Some((since + spread.mul_f64(jitter)).max(after(READING_INTERVAL)))
                 }
                 Need::None => None,
--- a/src/gateway/store_check.rs
+++ b/src/gateway/store_check.rs
@@ -8,7 +8,7 @@
 use smol::future::FutureExt;
 
 use super::Gateway;
-use super::contact::Need;
+use super::contact::{Need, first_check_spread};
 use super::source::sources;
 use crate::message::timeout;
 use crate::platform::store::{Kind, Session};
@@ -30,11 +30,12 @@
     loop {
         let now = Instant::now();
         let need = need(&gateway);
-        let hosts = {
-            let region = gateway.settings.borrow().region.clone();
-            gateway.fleet.borrow().count_in_region(&region)
+        let spread = {
+            let settings = gateway.settings.borrow();
+            let hosts = gateway.fleet.borrow().count_in_region(&settings.region);
+            first_check_spread(hosts, settings.apply_time)
         };
-        let next = gateway.contact.get().next_check(now, need, hosts, jitter);
+        let next = gateway.contact.get().next_check(now, need, spread, jitter);
         let Some(due) = next.filter(|due| *due <= now + DECISION_INTERVAL) else {
             wait(&gateway, DECISION_INTERVAL).await;
             continue;
--- a/src/gateway/tests/contact.rs
+++ b/src/gateway/tests/contact.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::gateway::contact::{Contact, Need};
+use crate::gateway::contact::{Contact, Need, first_check_spread};
 
 const HOSTS: usize = 60;
 
@@ -15,10 +15,11 @@
 /// Simulates checks for `time`; returns their number and the time of the first one
 fn simulate(mut contact: Contact, need: Need, start: Instant, time: Duration) -> (usize, Duration) {
     let mut rng = fastrand::Rng::with_seed(7);
+    let spread = first_check_spread(HOSTS, APPLY_TIME);
     let mut now = start;
     let mut checks = 0;
     let mut first = time;
-    while let Some(due) = contact.next_check(now, need, HOSTS, rng.f64())
+    while let Some(due) = contact.next_check(now, need, spread, rng.f64())
         && due < start + time
     {
         now = now.max(due);
@@ -81,10 +82,11 @@
 #[test]
 fn hosts_without_a_source_do_not_check_at_once() {
     let now = Instant::now();
+    let spread = first_check_spread(HOSTS, APPLY_TIME);
     let mut rng = fastrand::Rng::with_seed(9);
     let mut per_100_ms = [0; 20];
     for _ in 0..HOSTS {
-        let due = Contact::default().next_check(now, Need::NoSource(now), HOSTS, rng.f64());
+        let due = Contact::default().next_check(now, Need::NoSource(now), spread, rng.f64());
         let delay = due.expect("it checks") - now;
         per_100_ms[delay.as_millis() as usize / 100] += 1;
     }
@@ -92,6 +94,20 @@
     assert!(most <= HOSTS / 4, "{per_100_ms:?}");
 }
 
+/// Load pattern: of a large region only the host that checks last can read the store
+#[test]
+fn host_without_a_source_finds_its_store_later_in_a_larger_region() {
+    let now = Instant::now();
+    for apply_time in [2, 3, 5].map(Duration::from_secs) {
+        for hosts in [4, 22, 65, 100, 200, 400] {
+            let spread = first_check_spread(hosts, apply_time);
+            let due = Contact::default().next_check(now, Need::NoSource(now), spread, 1.0);
+            let delay = due.expect("it checks") - now;
+            assert!(delay <= apply_time / 4, "{hosts} hosts: {delay:?}");
+        }
+    }
+}
+
 #[test]
 fn the_store_serves_a_host_while_its_answers_are_recent() {
     let start = Instant::now();
@@ -110,6 +126,6 @@
     contact.record_answer(after(700));
     assert!(contact.is_served(after(800)) && !contact.is_lost());
     contact.record_suspicion();
-    let due = contact.next_check(after(800), Need::None, HOSTS, 0.5);
+    let due = contact.next_check(after(800), Need::None, Duration::ZERO, 0.5);
     assert_eq!(due, Some(after(800)), "a failed call is checked at once");
 }
