Followers go on with the changes of a reader that listed again

A reader lists a kind again when its watch at the store breaks, and a host when it becomes a reader. Its history began anew then, so all its followers were told that it is gone and listed the kind, too: hosts times objects, in a region of 65 hosts and 990 endpoints 0.8 to 0.9 s of a reader's time for each burst.

A list that is a later state than what the host had adds the differences to the history. What was written and removed in between is in neither, so followers whose position is in that gap list as before; 16 such lists are kept.

By unit tests only: the number of lists in a large region was not measured.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -16,6 +16,9 @@
 /// Number of changes per kind that are kept for followers; covers minutes of normal traffic
 const MAX_HISTORY_EVENTS: usize = 2048;
 
+/// Number of lists per kind over which the history goes on
+const MAX_GAPS: usize = 16;
+
 /// Copy of the store's objects
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Mirror {
@@ -52,6 +55,10 @@
     /// Revision from which the history is complete
     #[serde(skip)]
     history_start: BTreeMap<Kind, u64>,
+    /// Revisions between which the history has differences only, in order. Objects that were written
+    /// and removed in between are not in it, so a follower that was told some of that has to list.
+    #[serde(skip)]
+    gaps: BTreeMap<Kind, VecDeque<(u64, u64)>>,
     /// Followers that wait for a change, by kind
     #[serde(skip)]
     waiters: BTreeMap<Kind, Vec<Sender<()>>>,
@@ -72,6 +79,9 @@
 
 impl Mirror {
     /// Replaces all objects of a kind by a complete list
+    ///
+    /// The history goes on with the differences if the list is a later state, so that not all followers
+    /// have to list the kind, too, after this host did.
     pub fn replace(&mut self, now: Instant, kind: Kind, objects: Vec<Object>, position: Position) {
         let Position { era, revision } = position;
         if self.eras.insert(kind, era).unwrap_or(0) != era {
@@ -79,18 +89,30 @@
             self.revisions.remove(&kind);
             self.written_revisions.remove(&kind);
             self.listed_revisions.remove(&kind);
+            self.history_start.remove(&kind);
         }
+        let known_revision = self.revisions.get(&kind).copied();
         self.listed_revisions.insert(kind, revision);
         let latest_written = objects.iter().map(|object| object.revision).max();
         self.record_written(kind, latest_written.unwrap_or(0));
         let objects_by_name = objects
             .into_iter()
             .map(|object| (object.name.clone(), object));
-        self.objects.insert(kind, objects_by_name.collect());
+        let listed: BTreeMap<CompactString, Object> = objects_by_name.collect();
+        let previous = self.objects.insert(kind, listed).unwrap_or_default();
         self.mark_read(now, kind);
-        self.history.remove(&kind);
-        self.history_start.insert(kind, revision);
         self.advance_revision(kind, revision);
+        if self.history_start.contains_key(&kind)
+            && let Some(known_revision) = known_revision.filter(|known| *known <= revision)
+        {
+            let events = differences(&previous, &self.objects[&kind]);
+            self.extend_history(kind, &events);
+            self.add_gap(kind, (known_revision, revision));
+        } else {
+            self.history.remove(&kind);
+            self.gaps.remove(&kind);
+            self.history_start.insert(kind, revision);
+        }
         self.notify(kind);
     }
 
@@ -111,19 +133,45 @@
             }
         }
         self.advance_revision(kind, revision);
-        let current_revision = self.revisions.get(&kind).copied().unwrap_or(revision);
+        self.extend_history(kind, events);
+        if !events.is_empty() {
+            self.notify(kind);
+        }
+    }
+
+    /// Adds changes at the current revision of a kind to its history
+    fn extend_history(&mut self, kind: Kind, events: &[Event]) {
+        let revision = self.revisions.get(&kind).copied().unwrap_or(0);
         let history = self.history.entry(kind).or_default();
-        history.extend(events.iter().map(|event| (current_revision, event.clone())));
+        history.extend(events.iter().map(|event| (revision, event.clone())));
         while history.len() > MAX_HISTORY_EVENTS
             && let Some((dropped_revision, _)) = history.pop_front()
         {
             self.history_start.insert(kind, dropped_revision);
         }
-        if !events.is_empty() {
-            self.notify(kind);
+    }
+
+    /// Adds a gap to the history of a kind, which forgets what was before the oldest one if they are
+    /// many
+    fn add_gap(&mut self, kind: Kind, gap: (u64, u64)) {
+        let gaps = self.gaps.entry(kind).or_default();
+        gaps.push_back(gap);
+        if gaps.len() > MAX_GAPS
+            && let Some((_, end)) = gaps.pop_front()
+        {
+            let start = self.history_start.entry(kind).or_default();
+            *start = end.max(*start);
         }
     }
 
+    /// Returns whether a follower has to list a kind, as the history does not tell all after a revision
+    fn is_compacted(&self, kind: Kind, revision: u64) -> bool {
+        let starts_later = |start: &u64| revision < *start;
+        let mut gaps = self.gaps.get(&kind).into_iter().flatten();
+        self.history_start.get(&kind).is_none_or(starts_later)
+            || gaps.any(|(start, end)| *start < revision && revision < *end)
+    }
+
     /// Returns whether followers may read a kind here
     pub fn is_followable(&self, now: Instant, kind: Kind) -> bool {
         self.fresh_until(kind).is_some_and(|until| now < until)
@@ -162,11 +210,7 @@
         if era != self.position(kind).era {
             return Update::Compacted;
         }
-        if self
-            .history_start
-            .get(&kind)
-            .is_none_or(|history_start| revision < *history_start)
-        {
+        if self.is_compacted(kind, revision) {
             return Update::Compacted;
         }
         let latest_revision = self.revisions.get(&kind).copied().unwrap_or(0);
@@ -353,3 +397,19 @@
         self.last_read.contains_key(&kind)
     }
 }
+
+/// Returns the changes that lead from one state of a kind to another
+fn differences(
+    previous: &BTreeMap<CompactString, Object>,
+    current: &BTreeMap<CompactString, Object>,
+) -> Vec<Event> {
+    let removed = previous
+        .keys()
+        .filter(|name| !current.contains_key(*name))
+        .map(|name| Event::Removed(name.clone()));
+    let put = current
+        .values()
+        .filter(|object| previous.get(&object.name) != Some(*object))
+        .map(|object| Event::Put(object.clone()));
+    removed.chain(put).collect()
+}
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -4,6 +4,7 @@
 mod contact;
 mod datagram;
 mod heartbeat;
+mod history;
 mod holdover;
 mod log;
 mod mirror;
