First checks of a large region: half of the bound, not a quarter

A host that the store serves while its readers have no fresh copy reads the store itself, so the spread also keeps a region from the store while its new readers make their first lists. A quarter of the bound would more than halve it for 65 hosts (1.6 s to 0.75 s where the bound is 3 s); half of it leaves that case as it is (1.5 s) and still bounds regions of 100 hosts and more. From the code; the number of calls was not measured.

--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -19,8 +19,9 @@
 /// Time per host of a region over which its hosts spread their first checks
 const FIRST_CHECK_SPREAD_PER_HOST: Duration = Duration::from_millis(25);
 
-/// Share of the time in which a change must be in force that this spread may take
-const MAX_FIRST_CHECK_SHARE: f64 = 0.25;
+/// Share of the time in which a change must be in force that this spread may take. Hosts that the store
+/// serves read it, so a shorter one calls it more often while new readers make their first lists.
+const MAX_FIRST_CHECK_SHARE: f64 = 0.5;
 
 /// Minimum and maximum time between further checks of such a host
 const RARE_INTERVAL: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(4));
