Planned stops of pier-entry: nothing runs after the stop has ended

Cause: a stop ends when it counts no request in flight, but the host went on to take requests while the process closes its links (up to 1 s), and the end of the process would cut them off. The count falls after the caller has its last byte, so a slow thread made the test see 1.

Change: once no request is in flight, the host refuses what comes (`stopping`: "not run" without a ticket, unknown with one), also from peers, and the stop ends when what crossed with that is finished.

Now the stop returns the number of requests that it cuts off, which must be 0.

--- a/src/entry/incoming.rs
+++ b/src/entry/incoming.rs
@@ -94,7 +94,14 @@
 
 async fn run(host: &Arc<Host>, request: Request, from: &HostId) -> Outcome {
     let deadline = Instant::now() + request.remaining;
+    let outlasts_stop = !host.ends_before_stop(deadline);
     match request.operation.clone() {
+        Operation::Serve if outlasts_stop => {
+            let refused = serve::not_owner_refusal(host, &request.service);
+            Outcome::NotRun(refused.unwrap_or_else(|| refusal(Cause::Stopping)))
+        }
+        // An earlier request with the same ticket may have run.
+        Operation::Execute(_) if outlasts_stop => Outcome::Unknown(refusal(Cause::Stopping)),
         Operation::Serve => serve::serve_if_owner(host, &request, deadline).await,
         Operation::Execute(ticket) => {
             execute::execute_for_peer(host, ticket, request, deadline, from).await
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -158,7 +158,8 @@
     quarantine::key(service, method, target, body)
 }
 
-fn not_owner_refusal(host: &Host, service: &ServiceId) -> Option<Refusal> {
+/// Returns the refusal of a request whose service's slots another host of this zone owns
+pub fn not_owner_refusal(host: &Host, service: &ServiceId) -> Option<Refusal> {
     let view = lock(&host.view);
     let owner = view.owner(&host.settings.zone, service)?;
     let owner = owner.info.host.clone();
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -2,7 +2,7 @@
 //!
 //! A stopping host notifies the others at once, so that lookups no longer return it and its slots
 //! get another owner. It serves callers with a cached lookup until that has expired, hands its ticket
-//! table over, and exits when no request is in flight.
+//! table over, and exits when no request is in flight. What comes after that is refused.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,7 +18,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Runs a planned stop; a further signal ends the wait for callers with a cached lookup
-pub async fn stop(host: &Arc<Host>, link: &Link, mut signals: impl Stream + Unpin) {
+///
+/// Returns the number of requests that are in flight at its deadline and will be cut off, 0 if it
+/// ended before. Requests that come after it are refused.
+pub async fn stop(host: &Arc<Host>, link: &Link, mut signals: impl Stream + Unpin) -> usize {
     let started_at = Instant::now();
     host.begin_stop();
     host.record_event(Event::new("drain", &"planned stop started"));
@@ -53,12 +56,27 @@
             }
         }
     }
-    let remaining = host.in_flight_count();
+    let remaining = finish_last_requests(host, stop.deadline().unwrap_or(started_at)).await;
     let text = format!(
         "planned stop took {:?}, {remaining} requests in flight",
         started_at.elapsed()
     );
     host.record_event(Event::new("drain", &text));
+    remaining
+}
+
+/// Refuses new requests and waits for those that began meanwhile; returns how many are left at the
+/// deadline
+async fn finish_last_requests(host: &Host, deadline: Instant) -> usize {
+    // Without this, a request that begins after the last count would be cut off.
+    host.set_stops_at(Instant::now());
+    loop {
+        let remaining = host.in_flight_count();
+        if remaining == 0 || Instant::now() >= deadline {
+            return remaining;
+        }
+        Timer::after(POLL_INTERVAL).await;
+    }
 }
 
 /// Returns whether a signal arrives within one poll interval
