pier-entry: the gate reads bodies in chunks, not the HTTP library

Seen: a request in chunks with another one right behind it got no answer, and neither ran. A request whose trailers came in parts was answered only after the body's timeout.

Cause, in the library's decoder: what follows the last chunk in the same read must be exactly the trailers, or it is an error; after incomplete trailers it returns "pending" without a waker, so only the timer of the body's timeout looks again.

Change: the decoder of chunks of `message`, which `pier-gate` uses, is a type of its own (`message::Chunks`, the code is moved), and the gate of `pier-entry` reads the body with it from its own buffer. The library gets the head without `Transfer-Encoding`, so it never sees more than the head. Size lines and trailers are bounded now, and reading yields, so that the body's timeout is seen also with a caller who is always ahead. The connection still closes after such a request, as before.

Tests: `request_pipelined_behind_a_closing_answer_runs` now needs an answer and one run also for chunks with a request right behind them; it allowed none before. New: `caller::tests::chunks`.

--- a/src/caller/body.rs
+++ b/src/caller/body.rs
@@ -7,10 +7,12 @@
 use smol::future::FutureExt;
 use smol::io::AsyncReadExt;
 
+use crate::caller::gate::Connection;
 use crate::caller::head::{Head, Length};
 use crate::caller::{Limits, answer, handle};
 use crate::entry::{BufferReservation, Host, refusal};
 use crate::id::RequestId;
+use crate::message;
 use crate::wire::Cause;
 
 /// Complete body and the buffer space that it uses
@@ -51,6 +53,7 @@
 /// Reads a complete body within the limits
 pub async fn read(
     host: &Arc<Host>,
+    connection: &Connection,
     request: &mut Request,
     head: &Head,
     limits: &Limits,
@@ -64,7 +67,17 @@
         reservation.ok_or_else(|| ReadError::BufferFull(handle::request_id(request)))?;
     let mut bytes = Vec::new();
     if max_bytes > 0 {
-        read_into(&mut bytes, request, limits).await?;
+        let read = async {
+            match head.body_length {
+                Length::Bytes(_) => read_bytes(request, limits.max_body_bytes).await,
+                Length::Chunked => read_chunks(connection, limits.max_body_bytes).await,
+            }
+        };
+        let timeout = async {
+            Timer::after(limits.body_timeout).await;
+            Err(ReadError::TimedOut)
+        };
+        bytes = read.or(timeout).await?;
     }
     if bytes.len() > limits.max_body_bytes {
         return Err(ReadError::TooLong);
@@ -78,21 +91,19 @@
     }
 }
 
-async fn read_into(
-    bytes: &mut Vec<u8>,
-    request: &mut Request,
-    limits: &Limits,
-) -> Result<(), ReadError> {
-    let mut reader = request.take_body().take(limits.max_body_bytes as u64 + 1);
-    let read_all = async {
-        let result = reader.read_to_end(bytes).await;
-        result
-            .map(drop)
-            .map_err(|error| ReadError::Invalid(error.into()))
-    };
-    let timeout = async {
-        Timer::after(limits.body_timeout).await;
-        Err(ReadError::TimedOut)
-    };
-    read_all.or(timeout).await
+async fn read_bytes(request: &mut Request, max_bytes: usize) -> Result<Vec<u8>, ReadError> {
+    let mut bytes = Vec::new();
+    let mut reader = request.take_body().take(max_bytes as u64 + 1);
+    match reader.read_to_end(&mut bytes).await {
+        Ok(_) => Ok(bytes),
+        Err(error) => Err(ReadError::Invalid(error.into())),
+    }
+}
+
+async fn read_chunks(connection: &Connection, max_bytes: usize) -> Result<Vec<u8>, ReadError> {
+    let read = connection.clone().read_chunks(max_bytes).await;
+    read.map_err(|error| match error {
+        message::Error::TooLong(_) => ReadError::TooLong,
+        error => ReadError::Invalid(error.into()),
+    })
 }
--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -70,7 +70,8 @@
         let (head, body_read_sender, is_body_rejected) =
             (&head, &body_read_sender, &is_body_rejected);
         async move {
-            let mut response = match body::read(host, &mut request, head, limits).await {
+            let mut response = match body::read(host, connection, &mut request, head, limits).await
+            {
                 Ok(body) => {
                     let _ = body_read_sender.try_send(());
                     handle::handle(host, &request, head, body).await
--- a/src/caller/gate.rs
+++ b/src/caller/gate.rs
@@ -8,11 +8,13 @@
 use std::time::{Duration, Instant};
 
 use smol::Timer;
+use smol::future::yield_now;
 use smol::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use smol::net::TcpStream;
 
 use crate::caller::head::{self, Head, Length, Rejection};
 use crate::entry::lock;
+use crate::message::{self, Chunks, Progress};
 
 /// Maximum number of bytes per read, and of pipelined requests after which reading pauses
 const READ_BYTES: usize = 8 << 10;
@@ -96,18 +98,49 @@
             return Err((431, "head is too long"));
         }
         let head = Head::parse(&state.buffered[..end])?;
-        let end = if head.expects_continue {
-            state.remove_expect_lines(end)
-        } else {
-            end
-        };
-        state.remaining = match head.body_length {
-            Length::Bytes(bytes) => (end as u64).saturating_add(bytes),
-            Length::Chunked => u64::MAX,
+        let mut end = end;
+        if head.expects_continue {
+            // `send_continue` replies to them.
+            end = state.remove_lines(end, b"expect");
+        }
+        let body_bytes = match head.body_length {
+            Length::Bytes(bytes) => bytes,
+            Length::Chunked => {
+                // `read_chunks` reads the body.
+                end = state.remove_lines(end, b"transfer-encoding");
+                0
+            }
         };
+        state.remaining = (end as u64).saturating_add(body_bytes);
         Ok(head)
     }
 
+    /// Reads the complete chunked body of the current request, of at most `max_bytes`
+    ///
+    /// The library does not get it: its decoder takes the next request for trailers, and does not
+    /// wait for trailers that arrive in parts.
+    pub async fn read_chunks(
+        &mut self,
+        max_bytes: usize,
+    ) -> std::result::Result<Vec<u8>, message::Error> {
+        let mut chunks = Chunks::new();
+        let mut body = Vec::new();
+        loop {
+            let progress = self.lock().decode(&mut chunks, &mut body)?;
+            if body.len() > max_bytes {
+                return Err(message::Error::TooLong(max_bytes));
+            }
+            if progress == Progress::Complete {
+                return Ok(body);
+            }
+            if self.read_more().await? == 0 {
+                return Err(message::Error::Truncated);
+            }
+            // A sender that is always ahead never makes this task wait.
+            yield_now().await;
+        }
+    }
+
     /// Ends the current request: the library reads no further bytes
     pub fn end_request(&self) {
         self.lock().remaining = 0;
@@ -197,16 +230,26 @@
         (position.map(|position| position + 4), self.buffered.len())
     }
 
-    /// Removes the `Expect` lines of a head, since [`Connection::send_continue`] replies to them,
-    /// and returns the new end of the head
-    fn remove_expect_lines(&mut self, end: usize) -> usize {
+    /// Decodes the buffered bytes of a chunked body
+    fn decode(
+        &mut self,
+        chunks: &mut Chunks,
+        body: &mut Vec<u8>,
+    ) -> std::result::Result<Progress, message::Error> {
+        let (used, progress) = chunks.decode(&self.buffered, body);
+        self.buffered.drain(..used);
+        progress
+    }
+
+    /// Removes the lines of a header from a head and returns its new end
+    fn remove_lines(&mut self, end: usize, header: &[u8]) -> usize {
         let lines = self.buffered[..end].split_inclusive(|byte| *byte == b'\n');
-        let is_expect = |line: &&[u8]| {
+        let is_removed = |line: &&[u8]| {
             let name = line.split(|byte| *byte == b':').next();
-            name.is_some_and(|name| name.eq_ignore_ascii_case(b"expect"))
+            name.is_some_and(|name| name.eq_ignore_ascii_case(header))
         };
         let retained: Vec<u8> = lines
-            .filter(|line| !is_expect(line))
+            .filter(|line| !is_removed(line))
             .flatten()
             .copied()
             .collect();
--- a/src/caller/tests.rs
+++ b/src/caller/tests.rs
@@ -14,6 +14,7 @@
 use crate::caller::watch::Recorder;
 use crate::entry::reply::Body;
 use crate::operator::Metrics;
+mod chunks;
 
 /// Limits with short timeouts, so that tests of timeouts are short
 const SHORT_TIMEOUTS: Limits = Limits {
--- a/src/message/connection.rs
+++ b/src/message/connection.rs
@@ -12,7 +12,7 @@
 use smol::io::{AsyncRead, AsyncWriteExt};
 use smol::net::TcpStream;
 
-use super::{Error, Length, MAX_RESPONSE_HEAD_BYTES, Request, Response};
+use super::{Chunks, Error, Length, MAX_RESPONSE_HEAD_BYTES, Progress, Request, Response, find};
 
 /// Maximum number of bytes per read from the socket
 const READ_BYTES: usize = 8 << 10;
@@ -20,12 +20,6 @@
 /// Maximum number of reads in a row for which the socket had bytes, before other tasks get a turn
 const MAX_READY_READS: u8 = 4;
 
-/// Maximum length of a chunk size line or trailer line
-const MAX_LINE_BYTES: usize = 4 << 10;
-
-/// Maximum length of all trailer lines of a body; as much as a response head may have
-const MAX_TRAILER_BYTES: usize = MAX_RESPONSE_HEAD_BYTES;
-
 /// Maximum number of interim responses before the final one; servers send one or two
 const MAX_INTERIM_RESPONSES: usize = 16;
 
@@ -45,33 +39,11 @@
     buffer: Vec<u8>,
     /// Length of the buffered prefix without the end of a head
     scanned: usize,
-    chunk_state: ChunkState,
+    chunks: Chunks,
     /// Number of reads since this task waited
     ready_reads: u8,
 }
 
-/// Position within a chunked body
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum ChunkState {
-    #[default]
-    Size,
-    Data(u64),
-    DataEnd,
-    /// Trailer section, with the number of bytes read so far
-    Trailer(usize),
-    End,
-}
-
-/// Result of decoding the next element of a chunked body
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ChunkStep {
-    Decoded,
-    /// The rest of a line is needed, which may have this many bytes
-    NeedsLine(usize),
-    NeedsData,
-    Ended,
-}
-
 impl Connection {
     /// Creates a connection from an open stream
     pub fn new(stream: TcpStream) -> io::Result<Self> {
@@ -85,7 +57,7 @@
             stream,
             buffer,
             scanned: 0,
-            chunk_state: ChunkState::Size,
+            chunks: Chunks::new(),
             ready_reads: 0,
         }
     }
@@ -127,7 +99,7 @@
         let end = self.read_head(max_bytes).await?;
         let parsed = Request::parse(&self.buffer[..end]);
         self.consume(end);
-        self.chunk_state = ChunkState::Size;
+        self.chunks = Chunks::new();
         parsed
     }
 
@@ -155,7 +127,7 @@
             let end = self.read_head(MAX_RESPONSE_HEAD_BYTES).await?;
             let parsed = Response::parse(&self.buffer[..end], method);
             self.consume(end);
-            self.chunk_state = ChunkState::Size;
+            self.chunks = Chunks::new();
             let response = parsed?;
             if response.status >= 200 {
                 return Ok(response);
@@ -268,89 +240,26 @@
     async fn read_chunked_part(&mut self) -> Result<Option<Vec<u8>>, Error> {
         let mut part = Vec::new();
         loop {
-            let mut used = 0;
-            let step = loop {
-                match self.decode_chunk(&mut used, &mut part) {
-                    Ok(ChunkStep::Decoded) => {}
-                    step => break step,
-                }
-            };
+            let (used, progress) = self.chunks.decode(&self.buffer, &mut part);
             self.consume(used);
             if !part.is_empty() {
                 // An error, or the end, is found again by the next call.
                 return Ok(Some(part));
             }
-            match step? {
-                ChunkStep::Decoded => {}
-                ChunkStep::NeedsLine(max_bytes) => self.fill_line(max_bytes).await?,
-                ChunkStep::NeedsData => {
+            match progress? {
+                Progress::Partial => {
                     if self.fill().await? == 0 {
                         return Err(Error::Truncated);
                     }
                 }
-                ChunkStep::Ended => {
-                    self.chunk_state = ChunkState::Size;
+                Progress::Complete => {
+                    self.chunks = Chunks::new();
                     return Ok(None);
                 }
             }
         }
     }
 
-    /// Decodes the next element of a chunked body from the buffer, of which `used` bytes are decoded
-    ///
-    /// Adds data to `part`. An error changes nothing.
-    fn decode_chunk(&mut self, used: &mut usize, part: &mut Vec<u8>) -> Result<ChunkStep, Error> {
-        let unread = &self.buffer[*used..];
-        let (count, state) = match self.chunk_state {
-            ChunkState::Size => match httparse::parse_chunk_size(unread) {
-                Ok(httparse::Status::Complete((count, 0))) => (count, ChunkState::Trailer(0)),
-                Ok(httparse::Status::Complete((count, size))) => (count, ChunkState::Data(size)),
-                Ok(httparse::Status::Partial) => return Ok(ChunkStep::NeedsLine(MAX_LINE_BYTES)),
-                Err(_) => return Err(Error::Malformed("invalid chunk size")),
-            },
-            ChunkState::Data(0) => (0, ChunkState::DataEnd),
-            ChunkState::Data(_) if unread.is_empty() => return Ok(ChunkStep::NeedsData),
-            ChunkState::Data(remaining) => {
-                let max_bytes = usize::try_from(remaining).unwrap_or(usize::MAX);
-                let count = unread.len().min(max_bytes);
-                part.extend_from_slice(&unread[..count]);
-                (count, ChunkState::Data(remaining - count as u64))
-            }
-            ChunkState::DataEnd if unread.len() < 2 => return Ok(ChunkStep::NeedsLine(2)),
-            ChunkState::DataEnd if unread.starts_with(b"\r\n") => (2, ChunkState::Size),
-            ChunkState::DataEnd => {
-                let reason = "chunk data is not followed by a line break";
-                return Err(Error::Malformed(reason));
-            }
-            ChunkState::Trailer(bytes_read) => match find(unread, b"\r\n") {
-                Some(0) => (2, ChunkState::End),
-                Some(_) if bytes_read > MAX_TRAILER_BYTES => {
-                    return Err(Error::Malformed("trailer section is too long"));
-                }
-                Some(line_length) => {
-                    let count = line_length + 2;
-                    (count, ChunkState::Trailer(bytes_read + count))
-                }
-                None => return Ok(ChunkStep::NeedsLine(MAX_LINE_BYTES)),
-            },
-            ChunkState::End => return Ok(ChunkStep::Ended),
-        };
-        *used += count;
-        self.chunk_state = state;
-        Ok(ChunkStep::Decoded)
-    }
-
-    /// Receives more bytes of a line within a chunked body, of at most `max_bytes`
-    async fn fill_line(&mut self, max_bytes: usize) -> Result<(), Error> {
-        if self.buffer.len() > max_bytes {
-            return Err(Error::Malformed("chunk size or trailer line is too long"));
-        }
-        match self.fill().await? {
-            0 => Err(Error::Truncated),
-            _ => Ok(()),
-        }
-    }
-
     /// Reads from the socket into the buffer; returns 0 at the end of the stream
     async fn fill(&mut self) -> io::Result<usize> {
         if self.ready_reads >= MAX_READY_READS {
@@ -391,9 +300,3 @@
         std::mem::replace(&mut self.buffer, remaining)
     }
 }
-
-fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes
-        .windows(pattern.len())
-        .position(|window| window == pattern)
-}
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use displaydoc::Display;
 
+mod chunk;
 mod connection;
 mod head;
 mod length;
@@ -15,6 +16,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use chunk::{Chunks, Progress};
 pub use connection::{Connection, timeout};
 pub use head::{Request, Response, has_second_status_line};
 pub use length::Length;
@@ -145,3 +147,9 @@
         }
     }
 }
+
+fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes
+        .windows(pattern.len())
+        .position(|window| window == pattern)
+}
--- a/tests/once_only.rs
+++ b/tests/once_only.rs
@@ -99,17 +99,17 @@
     let host = fleet.hosts["bne-a-1"].info.caller;
     let mut broken = Vec::new();
     let cases = [
-        ("closed by the caller", CLOSE, Duration::ZERO, true),
-        ("chunks", CHUNKS, Duration::from_millis(4), true),
-        ("chunks, at once", CHUNKS, Duration::ZERO, false),
+        ("closed by the caller", CLOSE, Duration::ZERO),
+        ("chunks", CHUNKS, Duration::from_millis(4)),
+        ("chunks, at once", CHUNKS, Duration::ZERO),
     ];
-    for (name, rest, pause, needs_answer) in cases {
+    for (name, rest, pause) in cases {
         for count in [1, 2] {
             let tickets = tickets(host);
             let (first, second) = (format!("{name}-{count}-1"), format!("{name}-{count}-2"));
             let behind = request(&second, &tickets[1], LENGTH).repeat(count);
             let answer = exchange(host, &request(&first, &tickets[0], rest), pause, &behind);
-            if needs_answer && !is_served(&answer) {
+            if !is_served(&answer) {
                 broken.push(format!("{first}: {answer:?}"));
             }
             let runs = runs(&fleet, &second);
@@ -121,10 +121,10 @@
             if !is_served(&answer) {
                 broken.push(format!("{second} again: {answer:?}"));
             }
-            for (key, allowed) in [(first, 0..=1), (second, 1..=1)] {
+            for key in [first, second] {
                 let runs = self::runs(&fleet, &key);
                 println!("{key}: {runs} runs");
-                if !allowed.contains(&runs) {
+                if runs != 1 {
                     broken.push(format!("{key}: {runs} runs"));
                 }
             }
