--- a/src/caller/body.rs
+++ b/src/caller/body.rs
@@ -7,10 +7,11 @@
 use smol::future::FutureExt;
 use smol::io::AsyncReadExt;
 
+use crate::caller::gate::Connection;
 use crate::caller::head::{Head, Length};
 use crate::caller::{Limits, answer, handle};
-use crate::entry::{BufferReservation, Host, refusal};
-use crate::id::RequestId;
+use crate::entry::{BufferReservation, Host};
+use crate::message;
 use crate::wire::Cause;
 
 /// Complete body and the buffer space that it uses
@@ -26,7 +27,7 @@
 #[derive(Debug)]
 pub enum ReadError {
     /// The host's limit of buffered bytes is reached
-    BufferFull(RequestId),
+    BufferFull,
     /// The body is longer than the limit
     TooLong,
     /// The body was not complete within the timeout
@@ -37,9 +38,9 @@
 
 impl ReadError {
     /// Returns a response that closes the connection, or the error if the body is invalid
-    pub fn into_response(self) -> http_types::Result<Response> {
+    pub fn into_response(self, request: &Request) -> http_types::Result<Response> {
         let response = match self {
-            Self::BufferFull(id) => answer::not_run(&refusal(Cause::NoHeadroom), id),
+            Self::BufferFull => handle::refuse(request, Cause::NoHeadroom),
             Self::TooLong => answer::plain_text(413, "body is too long\n"),
             Self::TimedOut => answer::plain_text(408, "body took too long\n"),
             Self::Invalid(error) => return Err(error),
@@ -51,6 +52,7 @@
 /// Reads a complete body within the limits
 pub async fn read(
     host: &Arc<Host>,
+    connection: &Connection,
     request: &mut Request,
     head: &Head,
     limits: &Limits,
@@ -60,11 +62,20 @@
         Length::Chunked => limits.max_body_bytes,
     };
     let reservation = host.reserve_buffer(max_bytes);
-    let reservation =
-        reservation.ok_or_else(|| ReadError::BufferFull(handle::request_id(request)))?;
+    let reservation = reservation.ok_or(ReadError::BufferFull)?;
     let mut bytes = Vec::new();
     if max_bytes > 0 {
-        read_into(&mut bytes, request, limits).await?;
+        let read = async {
+            match head.body_length {
+                Length::Bytes(_) => read_bytes(request, limits.max_body_bytes).await,
+                Length::Chunked => read_chunks(connection, limits.max_body_bytes).await,
+            }
+        };
+        let timeout = async {
+            Timer::after(limits.body_timeout).await;
+            Err(ReadError::TimedOut)
+        };
+        bytes = read.or(timeout).await?;
     }
     if bytes.len() > limits.max_body_bytes {
         return Err(ReadError::TooLong);
@@ -78,21 +89,19 @@
     }
 }
 
-async fn read_into(
-    bytes: &mut Vec<u8>,
-    request: &mut Request,
-    limits: &Limits,
-) -> Result<(), ReadError> {
-    let mut reader = request.take_body().take(limits.max_body_bytes as u64 + 1);
-    let read_all = async {
-        let result = reader.read_to_end(bytes).await;
-        result
-            .map(drop)
-            .map_err(|error| ReadError::Invalid(error.into()))
-    };
-    let timeout = async {
-        Timer::after(limits.body_timeout).await;
-        Err(ReadError::TimedOut)
-    };
-    read_all.or(timeout).await
+async fn read_bytes(request: &mut Request, max_bytes: usize) -> Result<Vec<u8>, ReadError> {
+    let mut bytes = Vec::new();
+    let mut reader = request.take_body().take(max_bytes as u64 + 1);
+    match reader.read_to_end(&mut bytes).await {
+        Ok(_) => Ok(bytes),
+        Err(error) => Err(ReadError::Invalid(error.into())),
+    }
+}
+
+async fn read_chunks(connection: &Connection, max_bytes: usize) -> Result<Vec<u8>, ReadError> {
+    let read = connection.clone().read_chunks(max_bytes).await;
+    read.map_err(|error| match error {
+        message::Error::TooLong(_) => ReadError::TooLong,
+        error => ReadError::Invalid(error.into()),
+    })
 }
