Bound the service time of an answer that a caller reads slowly

Cause: when a body had been passed on, the whole time since the request was sent counted as service time of its route, also the time for which the caller took nothing. Callers that do not read made their route look so slow that other requests on it were refused with "no room".

Change: such an answer is reported with two bounds, the time for which the host waited for the endpoint and the time until the caller had all (Outcome::Relayed). The nearer bound counts if the mean of the route lies outside of them, else nothing. The load of the endpoint, planned stops and deadlines use the same times as before.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -70,6 +70,8 @@
     in_flight: InFlight,
     limits: Limits,
     bytes_read: u64,
+    /// Time for which the endpoint was waited for; the caller may take pieces slowly
+    busy: Duration,
 }
 
 impl RemainingBody {
@@ -82,6 +84,7 @@
         bytes_read: usize,
     ) -> Self {
         Self {
+            busy: in_flight.elapsed(),
             connection,
             length,
             in_flight,
@@ -115,14 +118,17 @@
         }
         let wait_until = self.limits.silence_deadline(now, self.length);
         let piece = timeout(wait_until, self.connection.read_body_part(&mut self.length)).await;
+        self.busy += now.elapsed();
         match piece.unwrap_or(Err(message::Error::Truncated)) {
             Ok(Some(piece)) => {
                 self.bytes_read += piece.len() as u64;
                 Ok(Some(piece))
             }
             Ok(None) => {
-                self.in_flight
-                    .finish(Outcome::Served(self.in_flight.elapsed()));
+                self.in_flight.finish(Outcome::Relayed {
+                    busy: self.busy,
+                    total: self.in_flight.elapsed(),
+                });
                 Ok(None)
             }
             Err(error) => {
--- a/src/placement/endpoint.rs
+++ b/src/placement/endpoint.rs
@@ -31,6 +31,13 @@
 pub enum Outcome {
     /// Complete response, with the time since the request was sent
     Served(Duration),
+    /// Complete response that was passed on while it was read
+    Relayed {
+        /// Time for which this host waited for the endpoint, which needed as long at least
+        busy: Duration,
+        /// Time since the request was sent
+        total: Duration,
+    },
     /// Error response from the endpoint, or no response in time
     Failed,
     /// Not run, since the endpoint was full
@@ -122,7 +129,7 @@
         }
         let failure = match outcome {
             Outcome::Cancelled | Outcome::Misdirected => return,
-            Outcome::Served(_) => {
+            Outcome::Served(_) | Outcome::Relayed { .. } => {
                 self.is_returning = self.pause_remaining(now).is_some();
                 self.consecutive_failures = 0;
                 self.ejections = 0;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -227,9 +227,12 @@
         let load = reported.map_or(state.running() + others, |(_, load)| load + 1);
         let may_have_queued = load > endpoint.slots;
         state.finish(now, started_at, outcome);
-        if let Outcome::Served(elapsed) = outcome {
-            let key = (route.clone(), endpoint.region.clone());
-            let service_time = self.service_times.entry(key).or_default();
+        if !matches!(outcome, Outcome::Served(_) | Outcome::Relayed { .. }) {
+            return;
+        }
+        let key = (route.clone(), endpoint.region.clone());
+        let service_time = self.service_times.entry(key).or_default();
+        if let Some(elapsed) = service_time.sample(outcome) {
             state.record_slowdown(now, elapsed.as_secs_f64() / service_time.mean());
             service_time.record(elapsed, rank, may_have_queued);
         }
--- a/src/placement/service_time.rs
+++ b/src/placement/service_time.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::Outcome;
+
 /// Service time assumed before the first response
 pub const INITIAL_SECONDS: f64 = 0.3;
 
@@ -71,6 +73,19 @@
         }
     }
 
+    /// Returns the time that an outcome tells, `None` if it tells none
+    ///
+    /// How long an endpoint needs for an answer that a caller reads slowly is known within bounds only;
+    /// if the mean lies between them, it tells nothing new.
+    pub fn sample(&self, outcome: Outcome) -> Option<Duration> {
+        match outcome {
+            Outcome::Served(elapsed) => Some(elapsed),
+            Outcome::Relayed { busy, .. } if busy.as_secs_f64() > self.mean => Some(busy),
+            Outcome::Relayed { total, .. } if total.as_secs_f64() < self.mean => Some(total),
+            _ => None,
+        }
+    }
+
     /// Returns the number of responses in the estimates
     pub fn samples(&self) -> u32 {
         self.samples
--- a/src/placement/tests/mod.rs
+++ b/src/placement/tests/mod.rs
@@ -179,6 +179,54 @@
     }
 }
 
+#[test]
+fn callers_that_read_slowly_change_the_service_time() {
+    struct Case {
+        name: &'static str,
+        /// Milliseconds that other requests take, for which the endpoint is waited for, and in all
+        millis: [u64; 3],
+        /// Range of the mean afterwards, in milliseconds
+        expected: std::ops::RangeInclusive<u64>,
+    }
+    let cases = [
+        Case {
+            name: "callers that take nothing for seconds",
+            millis: [100, 50, 10_000],
+            expected: 99..=101,
+        },
+        Case {
+            name: "endpoint that is slower than before",
+            millis: [100, 4000, 4500],
+            expected: 3000..=4000,
+        },
+        Case {
+            name: "endpoint that works while callers take nothing",
+            millis: [2000, 1000, 2500],
+            expected: 1999..=2001,
+        },
+        Case {
+            name: "endpoint that is faster than before",
+            millis: [2000, 50, 100],
+            expected: 100..=700,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let [other, busy, total] = case.millis.map(Duration::from_millis);
+        let endpoint = endpoint("e");
+        let mut pool = Pool::new();
+        let outcomes = [Outcome::Served(other), Outcome::Relayed { busy, total }];
+        for outcome in outcomes.into_iter().flat_map(|outcome| [outcome; 30]) {
+            pool.start(now, &endpoint.id);
+            pool.finish(now, &endpoint, &ROUTE, None, now, outcome);
+        }
+        let service_time = pool.service_time(&ROUTE, &REGION);
+        let mean = service_time.expect("requests were served").mean();
+        let mean = (mean * 1000.0).round() as u64;
+        assert!(case.expected.contains(&mean), "{}: {mean}", case.name);
+    }
+}
+
 #[test]
 fn queueing_does_not_raise_the_service_time() {
     let mut service_time = ServiceTime::default();
--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -31,9 +31,8 @@
 /// Deadline that they state
 const SLOW_DEADLINE: Duration = Duration::from_secs(10);
 
-/// Number of other callers, their route, and the interval at which they come
+/// Number of other callers, and the interval at which they come
 const OTHER_CALLERS: u32 = 300;
-const OTHER_PATH: &str = "/once/other";
 const OTHER_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Deadline that they state
@@ -49,18 +48,27 @@
 struct Case {
     /// Number of callers that read late
     slow_callers: u32,
+    /// Path of the other callers, on a route of their own or on that of the slow ones
+    other_path: &'static str,
     /// Number of other callers that must be served
     min_served: u32,
 }
 
-/// The memory of the host is enough for the first, but not for the second
-const CASES: [Case; 2] = [
+/// The memory of the host is enough for the first two, but not for the last
+const CASES: [Case; 3] = [
     Case {
         slow_callers: 4000,
+        other_path: "/once/other",
+        min_served: OTHER_CALLERS * 95 / 100,
+    },
+    Case {
+        slow_callers: 3000,
+        other_path: "/safe/other",
         min_served: OTHER_CALLERS * 95 / 100,
     },
     Case {
         slow_callers: 6000,
+        other_path: "/once/other",
         min_served: 0,
     },
 ];
@@ -246,14 +254,22 @@
             && started.elapsed() >= OTHER_INTERVAL * others.len() as u32
         {
             let number = others.len() as u32;
-            others.push(spawn(OTHER_PATH, number, (OTHER_DEADLINE, Duration::ZERO)));
+            others.push(spawn(
+                case.other_path,
+                number,
+                (OTHER_DEADLINE, Duration::ZERO),
+            ));
         }
         Timer::at(started + RAMP * (number + 1) / case.slow_callers).await;
     }
     while others.len() < OTHER_CALLERS as usize {
         let number = others.len() as u32;
         Timer::at(started + OTHER_INTERVAL * number).await;
-        others.push(spawn(OTHER_PATH, number, (OTHER_DEADLINE, Duration::ZERO)));
+        others.push(spawn(
+            case.other_path,
+            number,
+            (OTHER_DEADLINE, Duration::ZERO),
+        ));
     }
     let mut ends = BTreeMap::new();
     for task in others.into_iter().chain(slow) {
@@ -272,7 +288,7 @@
     if memory_kb > MAX_MEMORY_KB {
         broken.push(format!("{memory_kb} kB of {MAX_MEMORY_KB} kB"));
     }
-    let served = ends.get(&(OTHER_PATH, End::Complete)).copied();
+    let served = ends.get(&(case.other_path, End::Complete)).copied();
     let served = served.unwrap_or(0);
     if served < case.min_served {
         broken.push(format!("{served} of {OTHER_CALLERS} other callers served"));
