A download that is still passed on counts as running in a planned stop

Cause: the record that an attempt runs (drain::Longest) ended when the start of its answer was buffered, so while long downloads ran only the short ones that had ended were known, and others were taken and cut at the end of the grace period.

Change: the request in flight holds the record until its answer is passed on.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,6 +20,7 @@
 use crate::answer::Distinction;
 use crate::budget::memory::Hold;
 use crate::catalog::Endpoint;
+use crate::drain::Start;
 use crate::id::RouteId;
 use crate::message::{Connection, Request, Response, timeout};
 use crate::placement::Outcome;
@@ -123,6 +124,8 @@
     route: RouteId,
     rank: Option<usize>,
     started: Instant,
+    /// Tells that others of its route may take as long, until the answer is passed on
+    running: Start,
     permit: Permit,
     finished: bool,
 }
@@ -138,12 +141,14 @@
     ) -> Self {
         let started = Instant::now();
         gateway.pool.borrow_mut().start(started, &endpoint.id);
+        let running = gateway.longest.borrow_mut().start(started, &route);
         Self {
             gateway: gateway.clone(),
             endpoint,
             route,
             rank,
             started,
+            running,
             permit,
             finished: false,
         }
@@ -155,10 +160,12 @@
             return;
         }
         let now = Instant::now();
+        let mut longest = self.gateway.longest.borrow_mut();
+        longest.end(&self.route, self.running);
         if !matches!(outcome, Outcome::Shed | Outcome::Misdirected) {
-            let mut longest = self.gateway.longest.borrow_mut();
             longest.record(now, &self.route, now - self.started);
         }
+        drop(longest);
         let mut pool = self.gateway.pool.borrow_mut();
         pool.finish(
             now,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,7 +9,7 @@
 use super::limit::Permit;
 use super::reply::{Refusal, Reply};
 use super::upload::Upload;
-use super::{Gateway, quarantine, record, stop};
+use super::{Gateway, quarantine, record};
 use crate::catalog::Endpoint;
 use crate::id::{EndpointId, RegionId, ServiceId};
 use crate::message::{Request, timeout};
@@ -329,7 +329,6 @@
             idempotent: self.is_idempotent(),
         };
         let rank = self.affinity_key.map(|_| choice.rank);
-        let _attempt = stop::Attempt::new(self.gateway, &self.route.name);
         let in_flight = InFlight::new(
             self.gateway,
             endpoint,
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -12,8 +12,7 @@
 use smol::{Task, Timer};
 
 use super::{Gateway, peers};
-use crate::drain::{Grace, Start};
-use crate::id::RouteId;
+use crate::drain::Grace;
 
 /// Time before the end of the grace period at which the process ends in any case
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
@@ -28,33 +27,6 @@
 /// Interval at which requests in flight and open connections are checked
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Attempt under way, whose age tells that others of its route may take as long
-#[derive(Debug)]
-pub struct Attempt {
-    gateway: Rc<Gateway>,
-    route: RouteId,
-    start: Start,
-}
-
-impl Attempt {
-    /// Starts an attempt, which lasts until this is dropped
-    pub fn new(gateway: &Rc<Gateway>, route: &RouteId) -> Self {
-        let start = gateway.longest.borrow_mut().start(Instant::now(), route);
-        Self {
-            gateway: gateway.clone(),
-            route: route.clone(),
-            start,
-        }
-    }
-}
-
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        let mut longest = self.gateway.longest.borrow_mut();
-        longest.end(&self.route, self.start);
-    }
-}
-
 /// Runs a planned stop; `accept_task` accepts callers until `stop_accepting` is dropped
 pub async fn stop(gateway: &Rc<Gateway>, accept_task: Task<()>, stop_accepting: Sender<()>) {
     let started = Instant::now();
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -29,6 +29,9 @@
 /// Part of the grace period at whose end a cut request must still run to be excused
 const EXCUSED_RATIO: f64 = 1.0 / 6.0;
 
+/// Length of the part of a large answer that comes at once, more than what a host buffers
+const EARLY_BYTES: usize = 256 << 10;
+
 /// Part of the requests that must be served while all of them would end in time
 const MIN_SERVED_RATIO: f64 = 0.9;
 
@@ -47,6 +50,8 @@
     interval: u64,
     /// Milliseconds before SIGTERM since which requests come, `None` if all earlier ones have ended
     since: Option<u64>,
+    /// Whether the endpoint sends most of a large answer at once and the rest when its work is done
+    is_download: bool,
 }
 
 /// Returns how long a request takes
@@ -118,6 +123,22 @@
     })
 }
 
+/// Writes a large answer whose last byte comes after `work`
+async fn download(
+    request: Request,
+    mut connection: Connection,
+    work: Duration,
+) -> Option<Connection> {
+    let deadline = Instant::now() + work + Duration::from_secs(1);
+    let head = raw::success_head(&request, EARLY_BYTES + 1);
+    connection.write(head.as_bytes(), deadline).await.ok()?;
+    let early = vec![b'x'; EARLY_BYTES];
+    connection.write(&early, deadline).await.ok()?;
+    Timer::after(work).await;
+    connection.write(b"x", deadline).await.ok()?;
+    Some(connection)
+}
+
 async fn play(case: Case) -> Vec<String> {
     let options = Options {
         grace_secs: case.grace_secs,
@@ -130,8 +151,12 @@
     for number in 0..ENDPOINTS {
         let working = case.clone();
         let answer = move |request: Request, connection| {
+            let working = working.clone();
             let work = work(&working, raw::attempt_id(&request));
             async move {
+                if working.is_download {
+                    return download(request, connection, work).await;
+                }
                 Timer::after(work).await;
                 raw::succeed(request, connection).await
             }
@@ -218,6 +243,7 @@
             served_until: 0,
             interval: 100,
             since: None,
+            is_download: false,
         },
         Case {
             name: "short requests with a long limit",
@@ -228,6 +254,7 @@
             served_until: 4900,
             interval: 100,
             since: None,
+            is_download: false,
         },
         Case {
             name: "requests with a short limit",
@@ -238,6 +265,7 @@
             served_until: 4400,
             interval: 100,
             since: None,
+            is_download: false,
         },
         Case {
             name: "requests as long as the grace period",
@@ -248,6 +276,7 @@
             served_until: 0,
             interval: 100,
             since: None,
+            is_download: false,
         },
         Case {
             name: "long once-only requests, of which only short ones have ended",
@@ -258,6 +287,18 @@
             served_until: 0,
             interval: 10,
             since: Some(800),
+            is_download: false,
+        },
+        Case {
+            name: "long downloads, of which only short ones have ended",
+            grace_secs: 10,
+            prefix: "/once/",
+            work: 2500..7500,
+            limit: 8900,
+            served_until: 0,
+            interval: 10,
+            since: Some(800),
+            is_download: true,
         },
     ];
     site::play_all(cases.into_iter().map(play));
