Refuse settings that leave no memory for requests; follow changed ones

Cause: limits.memory_mb was taken as it was: 0, a few MB, or a number of megabytes that wraps around to 0 bytes left a budget with which a host refuses everything. And the budget was set at the start only, so a changed limit had no effect until a restart.

The budget follows the settings that are read, what is held stays held. /status and the metrics state it (request_memory_limit_bytes).

--- a/src/budget/memory.rs
+++ b/src/budget/memory.rs
@@ -19,6 +19,10 @@
 /// Part of the budget up to which bytes are buffered that serve only a retry
 const BUFFER_RATIO: f64 = 0.25;
 
+/// Memory limit below which a process is not started; two fifths of it hold some 400 requests in flight, or
+/// those of one connection with all that is buffered for them
+pub const MIN_PROCESS_BYTES: u64 = 16 << 20;
+
 /// Memory of a request in flight without long bodies, in bytes: its tasks, heads and one piece of a body
 pub const REQUEST_BYTES: usize = 16 << 10;
 
@@ -45,10 +49,14 @@
     }
 }
 
+fn request_bytes(memory_bytes: u64) -> usize {
+    (memory_bytes as f64 * REQUEST_RATIO) as usize
+}
+
 /// Budget of all requests of a process, in bytes
 #[derive(Debug)]
 pub struct Budget {
-    limit: usize,
+    limit: Cell<usize>,
     held: Cell<usize>,
 }
 
@@ -56,14 +64,19 @@
     /// Creates the budget of a process that may have `memory_bytes` in all
     pub fn new(memory_bytes: u64) -> Self {
         Self {
-            limit: (memory_bytes as f64 * REQUEST_RATIO) as usize,
+            limit: Cell::new(request_bytes(memory_bytes)),
             held: Cell::new(0),
         }
     }
 
+    /// Changes what the process may have in all; what is held stays
+    pub fn resize(&self, memory_bytes: u64) {
+        self.limit.set(request_bytes(memory_bytes));
+    }
+
     /// Returns the budget in bytes
     pub fn limit(&self) -> usize {
-        self.limit
+        self.limit.get()
     }
 
     /// Returns the number of bytes that are held
@@ -74,9 +87,10 @@
     /// Returns what may be done now
     pub fn level(&self) -> Level {
         let held = self.held.get();
-        if held > self.limit {
+        let limit = self.limit.get();
+        if held > limit {
             Level::Short
-        } else if held as f64 > self.limit as f64 * BUFFER_RATIO {
+        } else if held as f64 > limit as f64 * BUFFER_RATIO {
             Level::Tight
         } else {
             Level::Ample
--- a/src/budget/memory_tests.rs
+++ b/src/budget/memory_tests.rs
@@ -67,3 +67,22 @@
     drop(first);
     assert_eq!(budget.held(), 0);
 }
+
+#[test]
+fn changed_limit_loses_what_is_held() {
+    let budget = Rc::new(Budget::new(MEMORY_BYTES));
+    let hold = Hold::new(&budget, 30_000 << 10);
+    assert_eq!(budget.level(), Level::Tight);
+    budget.resize(MEMORY_BYTES / 2);
+    assert_eq!(
+        (budget.held(), budget.level()),
+        (30_000 << 10, Level::Short)
+    );
+    budget.resize(MEMORY_BYTES * 4);
+    assert_eq!(
+        (budget.held(), budget.level()),
+        (30_000 << 10, Level::Ample)
+    );
+    drop(hold);
+    assert_eq!(budget.held(), 0);
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -298,6 +298,7 @@
         ("ready", u64::from(gateway.is_ready())),
         ("running", gateway.running_requests.get() as u64),
         ("request_memory_bytes", gateway.memory.held() as u64),
+        ("request_memory_limit_bytes", gateway.memory.limit() as u64),
         ("caller_connections", gateway.open_connections.get() as u64),
         (
             "idle_connections",
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -179,6 +179,7 @@
     {
         log::warn!("listen addresses changed; they take effect after a restart");
     }
+    gateway.memory.resize(new_settings.memory_bytes);
     // Listen addresses only change at a restart.
     *settings = super::Settings {
         caller_address: settings.caller_address,
--- a/src/platform/node.rs
+++ b/src/platform/node.rs
@@ -17,6 +17,7 @@
 use serde::Deserialize;
 
 use crate::bound;
+use crate::budget::memory::MIN_PROCESS_BYTES;
 use crate::gateway::Settings;
 use crate::retry::Bound;
 
@@ -158,6 +159,7 @@
             "internal_ports: first port {first_port} is greater than last port {last_port}"
         ));
     }
+    let memory_bytes = memory_bytes(file.limits.memory_mb)?;
     Ok(Settings {
         host: file.node_name,
         zone: file.zone,
@@ -173,7 +175,7 @@
         // The capacity of a host is proportional to its CPU share, unless its link is the
         // bottleneck: a link of 100 Mbit/s counts as much as a whole core.
         weight: bound::ratio(file.limits.cpu_share.min(file.limits.link_mbps / 100.0)),
-        memory_bytes: file.limits.memory_mb << 20,
+        memory_bytes,
         max_descriptors: file.limits.max_fds,
         apply_time: seconds(file.bounds.config_apply_ms / 1000.0)?,
         grace_period: seconds(file.bounds.grace_s)?,
@@ -187,3 +189,14 @@
         },
     })
 }
+
+/// Returns a memory limit in bytes; too small a one would refuse all requests
+fn memory_bytes(megabytes: u64) -> Result<u64, String> {
+    let bytes = megabytes.checked_mul(1 << 20);
+    let bytes = bytes.filter(|bytes| *bytes >= MIN_PROCESS_BYTES);
+    bytes.ok_or_else(|| {
+        let min = MIN_PROCESS_BYTES >> 20;
+        let max = u64::MAX >> 20;
+        format!("limits.memory_mb: {megabytes} is not between {min} and {max}")
+    })
+}
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -57,6 +57,10 @@
         ),
         ("zone: \"a1\"", "zoen: \"a1\""),
         ("grace_s: 6", "grace_s: -6"),
+        ("memory_mb: 260", "memory_mb: 0"),
+        ("memory_mb: 260", "memory_mb: 15"),
+        ("memory_mb: 260", "memory_mb: -1"),
+        ("memory_mb: 260", "memory_mb: 17592186044416"),
     ] {
         let invalid = SETTINGS.replace(original, replacement);
         assert_ne!(invalid, SETTINGS);
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -17,6 +17,7 @@
 pub mod proxy;
 pub mod raw;
 pub mod repeat;
+pub mod settings;
 pub mod status;
 
 use std::collections::BTreeMap;
@@ -322,7 +323,7 @@
             .take(3)
             .map(|gateway| format!("\"{}:8166\"", gateway.ip))
             .collect();
-        let gateway = &mut self.gateways[index];
+        let gateway = &self.gateways[index];
         let ip = gateway.ip;
         let zones = REGIONS
             .map(|region| format!("{region}: \"{region}\""))
@@ -343,8 +344,9 @@
             grace = self.options.grace_secs,
             apply = self.options.config_apply_ms,
         );
-        let settings_path = self.directory.join(format!("{}.yaml", gateway.name));
+        let settings_path = self.settings_path(index);
         std::fs::write(&settings_path, settings).expect("settings are written");
+        let gateway = &mut self.gateways[index];
         gateway.process = Some(Process::gate(
             &self.directory,
             &gateway.name,
--- a/tests/site/status.rs
+++ b/tests/site/status.rs
@@ -15,6 +15,11 @@
     serde_json::from_slice(&body).unwrap_or_default()
 }
 
+/// Returns a number of the state of a host, `None` if it states none
+pub async fn number(site: &Site, host: usize, item: &str) -> Option<u64> {
+    status(site, host).await["state"][item].as_u64()
+}
+
 /// Returns whether a host reads the configuration from the store itself
 pub async fn reads_store(site: &Site, host: usize) -> bool {
     status(site, host).await["state"]["reads_store"] == 1
