--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,7 +9,7 @@
 use super::limit::Permit;
 use super::reply::{Refusal, Reply};
 use super::upload::Upload;
-use super::{Gateway, quarantine, record, stop};
+use super::{Gateway, quarantine, record};
 use crate::catalog::Endpoint;
 use crate::id::{EndpointId, RegionId, ServiceId};
 use crate::message::{Request, timeout};
@@ -111,6 +111,10 @@
             false => Refusal::new(404, "no route"),
         });
     };
+    let running = gateway.longest.borrow().running(&route.name);
+    if !gateway.memory.admits_route(running) {
+        return Err(Refusal::not_run("memory is short", MEMORY_PAUSE));
+    }
     let service = route.next_service().cloned();
     let service = service.ok_or_else(|| Refusal::new(404, "route without a service"))?;
     let quarantine_keys = quarantine::keys(request, upload.prefix());
@@ -329,7 +333,6 @@
             idempotent: self.is_idempotent(),
         };
         let rank = self.affinity_key.map(|_| choice.rank);
-        let _attempt = stop::Attempt::new(self.gateway, &self.route.name);
         let in_flight = InFlight::new(
             self.gateway,
             endpoint,
