Limits: of two statements the later counts, whatever a host heard first

Cause: a host forgot an answer without a limit if it knew of no limit of the endpoint, so older news of a limit that came after it put the limit into force again, until a permitted request (at a low limit after up to 10 s) showed that there is none.

Result: of all orders of seven sets of statements, those that begin with an answer without a limit ended with the older one (10 orders of three sets); none now. A limit of 0 to 1 a second that nobody heard of for an hour still permits a request within 10 s: a test that passed before, too.

--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -201,7 +201,7 @@
         let endpoints = catalog.endpoints();
         let owned = endpoints.filter(|endpoint| {
             endpoint.region == region
-                && register.statement(endpoint.run()).is_some()
+                && register.has_named(endpoint.run())
                 && self.owned_since(electorate.owner(&endpoint.id)).is_some()
         });
         let owned: BTreeSet<EndpointRun> = owned.map(Endpoint::run).collect();
@@ -230,9 +230,6 @@
 
     /// Records what an answer of an endpoint states about its limit; tells the owner of a change
     pub(super) fn record_limit(&self, now: Instant, endpoint: &Endpoint, rate: Option<f64>) {
-        if rate.is_none() && self.limits.register.borrow().is_empty() {
-            return;
-        }
         let statement = Statement {
             rate,
             heard_at: now,
@@ -372,15 +369,16 @@
         questions.retain(|_, question| now < question.asked_at + PERMIT_TTL);
         let mut unanswered = self.limits.unanswered.borrow_mut();
         unanswered.retain(|_, at| now < *at + PASS_OVER_TIME);
-        if self.limits.register.borrow().is_empty()
-            || now < self.limits.expired_at.get() + EXPIRE_INTERVAL
-        {
+        if now < self.limits.expired_at.get() + EXPIRE_INTERVAL {
             return;
         }
         self.limits.expired_at.set(now);
-        let catalog = self.catalog.borrow();
-        let listed: BTreeSet<EndpointRun> = catalog.endpoints().map(Endpoint::run).collect();
         let mut register = self.limits.register.borrow_mut();
+        let catalog = self.catalog.borrow();
+        let listed: BTreeSet<EndpointRun> = match register.is_empty() {
+            true => BTreeSet::new(),
+            false => catalog.endpoints().map(Endpoint::run).collect(),
+        };
         register.expire(now, |run| listed.contains(&run));
     }
 }
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -74,7 +74,12 @@
 
 /// Limits of the endpoints, by run
 #[derive(Debug, Default)]
-pub struct Register(BTreeMap<EndpointRun, Limit>);
+pub struct Register {
+    limits: BTreeMap<EndpointRun, Limit>,
+    /// When endpoints without a known limit last stated that they have none; older news of a limit may
+    /// still arrive
+    unlimited_at: BTreeMap<EndpointRun, Instant>,
+}
 
 impl Register {
     /// Creates a register without limits
@@ -84,12 +89,12 @@
 
     /// Returns whether no limit is known
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.limits.is_empty()
     }
 
     /// Returns the number of endpoints with a limit
     pub fn count(&self) -> usize {
-        let limits = self.0.values();
+        let limits = self.limits.values();
         limits
             .filter(|limit| limit.statement.rate.is_some())
             .count()
@@ -97,10 +102,17 @@
 
     /// Records a statement if it is later than the known one; returns whether the rate changed
     pub fn record(&mut self, now: Instant, run: EndpointRun, statement: Statement) -> bool {
-        let Some(limit) = self.0.get_mut(&run) else {
+        let Some(limit) = self.limits.get_mut(&run) else {
+            let unlimited_at = self.unlimited_at.get(&run).copied();
             let Some(rate) = statement.rate else {
+                let latest = unlimited_at.max(Some(statement.heard_at));
+                self.unlimited_at.extend(latest.map(|at| (run, at)));
                 return false;
             };
+            if unlimited_at > Some(statement.heard_at) {
+                return false;
+            }
+            self.unlimited_at.remove(&run);
             let limit = Limit {
                 statement,
                 bucket: Bucket::new(now, rate),
@@ -108,7 +120,7 @@
                 spare_permits: Vec::new(),
                 listed_at: now,
             };
-            self.0.insert(run, limit);
+            self.limits.insert(run, limit);
             return true;
         };
         if statement.heard_at < limit.statement.heard_at {
@@ -125,20 +137,32 @@
         has_changed
     }
 
-    /// Returns what is known of an endpoint, if it ever named a limit
+    /// Returns what is known of an endpoint's limit
     pub fn statement(&self, run: EndpointRun) -> Option<Statement> {
-        self.0.get(&run).map(|limit| limit.statement)
+        if let Some(limit) = self.limits.get(&run) {
+            return Some(limit.statement);
+        }
+        let heard_at = self.unlimited_at.get(&run).copied()?;
+        Some(Statement {
+            rate: None,
+            heard_at,
+        })
+    }
+
+    /// Returns whether an endpoint ever named a limit
+    pub fn has_named(&self, run: EndpointRun) -> bool {
+        self.limits.contains_key(&run)
     }
 
     /// Returns the requests a second that an endpoint takes, if it limits them
     pub fn rate(&self, run: EndpointRun) -> Option<f64> {
-        let rate = self.0.get(&run)?.statement.rate?;
+        let rate = self.limits.get(&run)?.statement.rate?;
         (rate < MAX_RATE).then_some(rate.max(MIN_RATE))
     }
 
     /// Returns for how long an endpoint gets no request from this host because of its limit
     pub fn withheld_for(&self, now: Instant, run: EndpointRun) -> Option<Duration> {
-        let limit = self.0.get(&run)?;
+        let limit = self.limits.get(&run)?;
         limit.statement.rate?;
         let is_permitted = limit.spare_permits.iter().any(|end| now < *end);
         let remaining = limit.withheld_until?.saturating_duration_since(now);
@@ -147,21 +171,21 @@
 
     /// Records that this host gets no permit for an endpoint for some time
     pub fn withhold(&mut self, run: EndpointRun, until: Instant) {
-        if let Some(limit) = self.0.get_mut(&run) {
+        if let Some(limit) = self.limits.get_mut(&run) {
             limit.withheld_until = limit.withheld_until.max(Some(until));
         }
     }
 
     /// Keeps a permit whose request went elsewhere for the next one
     pub fn put_spare(&mut self, run: EndpointRun, ends_at: Instant) {
-        if let Some(limit) = self.0.get_mut(&run) {
+        if let Some(limit) = self.limits.get_mut(&run) {
             limit.spare_permits.push(ends_at);
         }
     }
 
     /// Takes a kept permit that has not ended; returns its end
     pub fn take_spare(&mut self, now: Instant, run: EndpointRun) -> Option<Instant> {
-        let limit = self.0.get_mut(&run)?;
+        let limit = self.limits.get_mut(&run)?;
         limit.spare_permits.retain(|end| now < *end);
         limit.spare_permits.pop()
     }
@@ -170,7 +194,7 @@
     ///
     /// `owner_since` is the time since which this host is the owner.
     pub fn decide(&mut self, now: Instant, run: EndpointRun, owner_since: Instant) -> Verdict {
-        let Some(limit) = self.0.get_mut(&run) else {
+        let Some(limit) = self.limits.get_mut(&run) else {
             return Verdict::Unlimited;
         };
         if limit.statement.rate.is_none_or(|rate| rate >= MAX_RATE) {
@@ -194,7 +218,10 @@
         now: Instant,
         is_owned: impl Fn(EndpointRun) -> bool,
     ) -> Vec<(EndpointRun, Statement)> {
-        let statements = self.0.iter().map(|(run, limit)| (*run, limit.statement));
+        let statements = self
+            .limits
+            .iter()
+            .map(|(run, limit)| (*run, limit.statement));
         let current = statements.filter(|(_, statement)| {
             statement.rate.is_some() || now < statement.heard_at + WITHDRAWAL_TTL
         });
@@ -204,7 +231,9 @@
     /// Drops the limits of endpoints that are gone, and what is known of those that have had none for
     /// long
     pub fn expire(&mut self, now: Instant, is_listed: impl Fn(EndpointRun) -> bool) {
-        self.0.retain(|run, limit| {
+        self.unlimited_at
+            .retain(|_, heard_at| now < *heard_at + UNUSED_TTL);
+        self.limits.retain(|run, limit| {
             if is_listed(*run) {
                 limit.listed_at = now;
             }
--- a/src/limit/tests/mod.rs
+++ b/src/limit/tests/mod.rs
@@ -1,4 +1,5 @@
 mod schedules;
+mod statements;
 
 use std::time::{Duration, Instant};
 
