Limits: odd numbers of another host do not end the task that decides

Cause: a rate of NaN in a datagram of another host reached the bucket, whose wait was then no duration; an endless wait of an owner overflowed the clock. Endpoints' own texts are checked where they are read, datagrams were not.

Change: a rate that is negative or NaN states nothing; no host goes without a permit for longer than the lowest rate and a hand-over take.

Result: both new tests panicked before ("cannot convert float seconds to Duration", "overflow when adding duration to instant") and pass now.

--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -352,11 +352,11 @@
             }),
             Verdict::Unlimited => Some(Permit::default()),
             Verdict::Exhausted(wait) => {
-                register.withhold(run, now + wait);
+                register.withhold(now, run, wait);
                 None
             }
             Verdict::NotOwner => {
-                register.withhold(run, now + UNDECIDED_TIME);
+                register.withhold(now, run, UNDECIDED_TIME);
                 None
             }
         }
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -32,6 +32,10 @@
 /// Rate from which on a limit is not enforced, in requests a second; no endpoint serves as many
 pub const MAX_RATE: f64 = 100_000.0;
 
+/// Longest time for which a host goes without a permit before it asks again; the lowest rate takes 10 s
+/// and a hand-over
+const MAX_WAIT: Duration = Duration::from_millis(11_500);
+
 /// How long it is told that an endpoint has no limit any more
 const WITHDRAWAL_TTL: Duration = Duration::from_secs(5);
 
@@ -101,7 +105,15 @@
     }
 
     /// Records a statement if it is later than the known one; returns whether the rate changed
+    ///
+    /// A rate that is negative or NaN states nothing.
     pub fn record(&mut self, now: Instant, run: EndpointRun, statement: Statement) -> bool {
+        if statement
+            .rate
+            .is_some_and(|rate| rate < 0.0 || rate.is_nan())
+        {
+            return false;
+        }
         let Some(limit) = self.limits.get_mut(&run) else {
             let unlimited_at = self.unlimited_at.get(&run).copied();
             let Some(rate) = statement.rate else {
@@ -170,8 +182,9 @@
     }
 
     /// Records that this host gets no permit for an endpoint for some time
-    pub fn withhold(&mut self, run: EndpointRun, until: Instant) {
+    pub fn withhold(&mut self, now: Instant, run: EndpointRun, wait: Duration) {
         if let Some(limit) = self.limits.get_mut(&run) {
+            let until = now + wait.min(MAX_WAIT);
             limit.withheld_until = limit.withheld_until.max(Some(until));
         }
     }
--- a/src/limit/tests/mod.rs
+++ b/src/limit/tests/mod.rs
@@ -182,7 +182,7 @@
 fn permits_are_kept_for_later_requests_until_they_end() {
     let (mut register, _, now) = register(1.0);
     let end = now + Duration::from_millis(300);
-    register.withhold(RUN, now + Duration::from_secs(1));
+    register.withhold(now, RUN, Duration::from_secs(1));
     assert!(register.withheld_for(now, RUN).is_some());
     register.put_spare(RUN, end);
     assert_eq!(register.withheld_for(now, RUN), None);
--- a/src/limit/tests/statements.rs
+++ b/src/limit/tests/statements.rs
@@ -1,4 +1,4 @@
-//! Statements about limits: the order in which they are heard, and how long they count.
+//! Statements about limits: the order in which they are heard, and numbers that no endpoint states.
 
 use std::time::{Duration, Instant};
 
@@ -138,3 +138,51 @@
         assert_eq!(register.rate(RUN), None, "{rate}");
     }
 }
+
+// Another host, or what its datagram has become on the way, must not end the task that decides.
+#[test]
+fn odd_number_of_another_host_ends_the_task_that_decides() {
+    struct Case {
+        rate: f64,
+        is_limited: bool,
+    }
+    let case = |rate, is_limited| Case { rate, is_limited };
+    let cases = [
+        case(f64::NAN, false),
+        case(-f64::NAN, false),
+        case(-1.0, false),
+        case(f64::NEG_INFINITY, false),
+        case(f64::INFINITY, false),
+        case(1e300, false),
+        case(-0.0, true),
+        case(5e-324, true),
+    ];
+    for case in cases {
+        let (start, later) = {
+            let start = Instant::now();
+            (start, start + Duration::from_secs(60))
+        };
+        let mut fresh = Register::new();
+        fresh.record(start, RUN, statement(Some(case.rate), start));
+        let (mut limited, ..) = register(1.0);
+        limited.record(later, RUN, statement(Some(case.rate), later));
+        for (name, register) in [("first", &mut fresh), ("after 1 a second", &mut limited)] {
+            for step in 0..200 {
+                let now = later + Duration::from_millis(10) * step;
+                register.decide(now, RUN, start);
+            }
+            let is_limited = register.rate(RUN).is_some();
+            let is_number = case.rate >= 0.0;
+            let expected = case.is_limited || (name != "first" && !is_number);
+            assert_eq!(is_limited, expected, "{name}: {}", case.rate);
+        }
+    }
+}
+
+#[test]
+fn endless_wait_told_by_an_owner_takes_the_endpoint_out_of_use() {
+    let (mut register, start, _) = register(1.0);
+    register.withhold(start, RUN, Duration::MAX);
+    let remaining = register.withheld_for(start, RUN).expect("is withheld");
+    assert!(remaining < Duration::from_secs(12), "{remaining:?}");
+}
