--- a/src/gateway/limit/tests.rs
+++ b/src/gateway/limit/tests.rs
@@ -1,4 +1,6 @@
-//! Questions to the owners of permits.
+//! Questions to the owners of permits, and what limits on many endpoints cost.
+
+mod cost;
 
 use std::collections::BTreeSet;
 use std::time::Instant;
--- a/src/gateway/limit/wire.rs
+++ b/src/gateway/limit/wire.rs
@@ -39,10 +39,14 @@
 /// Answer of an owner
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Answer {
-    host: HostId,
-    number: u64,
-    verdict: Verdict,
-    statement: Option<EncodedStatement>,
+    /// Host that answers
+    pub host: HostId,
+    /// Number of the question
+    pub number: u64,
+    /// Decision
+    pub verdict: Verdict,
+    /// What the owner knows of the endpoint's limit
+    pub statement: Option<EncodedStatement>,
 }
 
 /// Content of a datagram
