Count headers of endpoints that are not understood

Change: headers that begin like those in which endpoints state something and that nothing reads are counted by name (16 names, then together) and logged once a name.

--- a/src/gateway/advice.rs
+++ b/src/gateway/advice.rs
@@ -43,6 +43,7 @@
         let fields = [("endpoint", id.as_str().into())];
         gateway.recorder.event("endpoint-leaving", &fields);
     }
+    gateway.record_unknown_headers(endpoint, &head.headers);
     heed_limit(gateway, now, endpoint, head);
     match header::requested_pause(head) {
         None => {}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -38,6 +38,7 @@
     panics: Counter<u64>,
     unreadable: Counter<u64>,
     outdated: Counter<u64>,
+    unknown_headers: Counter<u64>,
     stated_limits: Counter<u64>,
     permits: Counter<u64>,
     state_gauge: Gauge<u64>,
@@ -105,6 +106,10 @@
                 "pier_gate_outdated_entries",
                 "Entries of endpoints that came after later ones of the same run",
             ),
+            unknown_headers: counter(
+                "pier_gate_unknown_headers",
+                "Headers in which endpoints state something that is not understood, by name",
+            ),
             stated_limits: counter(
                 "pier_gate_stated_limits",
                 "Answers in which endpoints state a limit for all hosts, by whether it is a number",
@@ -187,6 +192,12 @@
         self.outdated.add(1, &[]);
     }
 
+    /// Counts a header in which an endpoint states something that is not understood
+    pub fn count_unknown_header(&self, name: &str) {
+        self.unknown_headers
+            .add(1, &[KeyValue::new("name", name.to_owned())]);
+    }
+
     /// Counts an answer in which an endpoint states a limit
     pub fn count_stated_limit(&self, is_number: bool) {
         self.stated_limits
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -54,6 +54,7 @@
 mod settings;
 mod share;
 mod source;
+mod statement;
 mod stop;
 mod store_check;
 mod store_gate;
@@ -128,6 +129,7 @@
     cold_buckets: RefCell<BTreeMap<EndpointId, cold::TokenBucket>>,
     /// Limits that endpoints name for all hosts together
     limits: limit::Limits,
+    unknown_headers: RefCell<statement::Names>,
     /// Whether this host knows what other hosts hold, or has asked in vain
     knows_holdover: Cell<bool>,
     /// Whether an older configuration replaces a newer one, as it stayed the store's
@@ -190,6 +192,7 @@
             demand: RefCell::default(),
             cold_buckets: RefCell::default(),
             limits: limit::Limits::new(Instant::now()),
+            unknown_headers: RefCell::default(),
             knows_holdover: Cell::new(false),
             is_rollback_allowed: Cell::new(false),
             era_lag_tolerance: ERA_LAG_TOLERANCE.mul_f64(1.0 + fastrand::f64()),
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod reply;
 mod source;
+mod statement;
 mod store_gate;
 mod stream;
 mod supervise;
--- a/src/message/mod.rs
+++ b/src/message/mod.rs
@@ -66,6 +66,11 @@
         std::str::from_utf8(value).ok().map(str::trim)
     }
 
+    /// Returns the names of all header lines as received
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.0.iter().map(|(name, _)| name.as_str())
+    }
+
     /// Returns all values of a header that are valid UTF-8
     pub fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         self.0
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -45,6 +45,22 @@
 /// Present on responses of an endpoint that leaves
 const SERVER_LEAVING: &str = "Server-Leaving";
 
+/// Beginnings of the names of headers in which endpoints state something about themselves
+const STATEMENT_PREFIXES: [&str; 5] = ["Attempt-", "Instance-", "Not-", "Server-", "Warmup-"];
+
+/// Names that begin so and are read, or belong to HTTP
+const KNOWN_STATEMENTS: [&str; 9] = [
+    ATTEMPT_ID,
+    INSTANCE_ID,
+    NOT_EXECUTED,
+    SERVER_LEAVING,
+    SERVER_LIMIT,
+    SERVER_LOAD,
+    SERVER_SIGNATURE,
+    "Server-Timing",
+    WARMUP_MILLIS,
+];
+
 /// Time in seconds after which a request may be sent again
 const RETRY_AFTER: &str = "Retry-After";
 
@@ -231,6 +247,20 @@
     }
 }
 
+/// Returns the names of headers in which an endpoint states something that nothing here reads
+pub fn unknown_statements(headers: &Headers) -> impl Iterator<Item = &str> {
+    let begins_with = |name: &str, prefix: &str| {
+        let start = name.as_bytes().get(..prefix.len());
+        start.is_some_and(|start| start.eq_ignore_ascii_case(prefix.as_bytes()))
+    };
+    headers.names().filter(move |name| {
+        let mut prefixes = STATEMENT_PREFIXES.iter();
+        let mut known = KNOWN_STATEMENTS.iter();
+        prefixes.any(|prefix| begins_with(name, prefix))
+            && !known.any(|known| name.eq_ignore_ascii_case(known))
+    })
+}
+
 /// Returns whether the response carries the signature of an endpoint
 pub fn is_signed(response: &Response) -> bool {
     response.headers.get(SERVER_SIGNATURE).is_some()
--- a/src/platform/tests/mod.rs
+++ b/src/platform/tests/mod.rs
@@ -404,6 +404,46 @@
     }
 }
 
+#[test]
+fn statement_that_nothing_reads_is_passed_over() {
+    struct Case {
+        head: &'static str,
+        unknown: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            head: "Server-Limit: 1\r\nServer-Load: 1,2,3\r\nServer-Signature: x\r\n",
+            unknown: &[],
+        },
+        Case {
+            head: "server-leaving: 1\r\nINSTANCE-ID: i-1\r\nWarmup-Ms: 5\r\nAttempt-Id: a\r\n",
+            unknown: &[],
+        },
+        Case {
+            head: "Server: x\r\nServer-Timing: db\r\nX-Server-Quota: 1\r\nETag: 7\r\n",
+            unknown: &[],
+        },
+        Case {
+            head: "Server-Quota: 5\r\nwarmup-rate: 2\r\nNot-Before: 1\r\n",
+            unknown: &["Server-Quota", "warmup-rate", "Not-Before"],
+        },
+        Case {
+            head: "Server-Limits: 5\r\nServer-: 2\r\n",
+            unknown: &["Server-Limits", "Server-"],
+        },
+        Case {
+            head: "",
+            unknown: &[],
+        },
+    ];
+    for case in cases {
+        let head = format!("HTTP/1.1 200 X\r\n{}\r\n", case.head);
+        let response = Response::parse(head.as_bytes(), "GET").expect("response is valid");
+        let unknown: Vec<&str> = header::unknown_statements(&response.headers).collect();
+        assert_eq!(unknown, case.unknown, "{}", case.head);
+    }
+}
+
 #[test]
 fn only_the_endpoint_itself_states_that_it_leaves() {
     for (head, is_leaving) in [
--- a/tests/odd_headers.rs
+++ b/tests/odd_headers.rs
@@ -12,6 +12,9 @@
 
 use site::{HOST_NAME, Site};
 
+/// Port of a host's metrics
+const METRICS_PORT: u16 = 9464;
+
 /// Number of requests that a caller sends before the first answer
 const PIPELINED: usize = 3;
 
@@ -125,3 +128,46 @@
 fn spoiled_number_of_an_endpoint_mixes_up_pipelined_answers() {
     site::play_all(CASES.into_iter().map(play));
 }
+
+// A statement that no host understands left no trace, so that nobody knew that it was not heeded.
+#[test]
+fn unknown_statement_of_an_endpoint_leaves_no_trace() {
+    site::play_all(std::iter::once(async {
+        let mut site = Site::start_with_capacity(1, 1, (8, Duration::from_millis(10))).await;
+        (0..site.servers.len()).for_each(|index| site.register_without_proxy(index));
+        Timer::after(Duration::from_millis(300)).await;
+        for server in &site.servers {
+            server.endpoint.set_faults(Faults {
+                extra_header: Some("Server-Quota: 7\r\nX-Quota: 7"),
+                ..Faults::default()
+            });
+        }
+        let mut broken = Vec::new();
+        for gateway in 0..site.gateways.len() {
+            let ip = site.gateways[gateway].ip;
+            for number in 0..20 {
+                let host = SocketAddr::new(ip, 8161);
+                let id = format!("{gateway}-{number}");
+                if site::get_status(host, "/safe/1", &id).await != Some(200) {
+                    broken.push(format!("request {id} is not served"));
+                }
+            }
+            let metrics = site::get(SocketAddr::new(ip, METRICS_PORT), "/metrics").await;
+            let (_, text) = metrics.unwrap_or_default();
+            let text = String::from_utf8_lossy(&text);
+            let mut lines = text
+                .lines()
+                .filter(|line| line.starts_with("pier_gate_unknown_headers"));
+            let line = lines.next().unwrap_or_default();
+            if !line.contains("name=\"server-quota\"") || !line.ends_with(" 20") {
+                broken.push(format!("metrics: {line:?}"));
+            }
+            let log = site.read_log(gateway);
+            let logged = log.lines().filter(|line| line.contains("header-unknown"));
+            if logged.count() != 1 || log.contains("x-quota") {
+                broken.push(format!("log of {}", site.gateways[gateway].name));
+            }
+        }
+        broken
+    }));
+}
