Tell refused callers times that are spread over the limit

What callers saw: all callers refused for want of a permit were told the time of the next one, which one of them got; the others were refused again.

Change: each refused caller takes a place, one interval of this host's part of the limit behind the one before, the first at a random phase; the part is that of its demand. A caller that has given up by then takes none. Endpoints that were not asked, as three others had refused, no longer make it "no endpoint".

Result, decisions alone: of 20, 8, 30 and 260 callers that return as told 0, 0, 1 and 0 are refused again, 19, 7, 29 and 259 if told the next permit.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -174,8 +174,8 @@
             let Some((endpoint, choice)) = self.choose_endpoint(now) else {
                 return match last_failure {
                     Some(failure) => self.give_up(failure),
-                    None => match self.shortest_pause(now) {
-                        Some(pause) => self.refuse_paused(pause),
+                    None => match self.not_before(now) {
+                        Some(refusal) => self.refuse_before(refusal),
                         None => self.refuse("no endpoint", Duration::from_millis(400)),
                     },
                 };
--- a/src/gateway/forward/refusal.rs
+++ b/src/gateway/forward/refusal.rs
@@ -6,6 +6,7 @@
 use super::super::record;
 use super::super::reply::{Refusal, Reply};
 use super::Dispatch;
+use crate::catalog::Endpoint;
 use crate::placement::ServiceTime;
 use crate::platform::header;
 
@@ -14,8 +15,8 @@
         let may_have_run =
             self.may_have_run || matches!(failure, Failure::TimedOut if self.run_attempts > 0);
         if !may_have_run || (self.is_idempotent() && failure.is_not_run()) {
-            if let Some(pause) = self.shortest_pause(Instant::now()) {
-                return self.refuse_paused(pause);
+            if let Some(refusal) = self.not_before(Instant::now()) {
+                return self.refuse_before(refusal);
             }
             let retry_after = self.usual_duration(ServiceTime::mean);
             return self.refuse("endpoints did not run it", retry_after);
@@ -28,27 +29,50 @@
         Reply::Local(Refusal::new(status, "unknown whether it ran"))
     }
 
-    /// Returns the shortest time for which an endpoint that could serve the request gets none, if that
-    /// holds for all of them
-    pub(super) fn shortest_pause(&self, now: Instant) -> Option<Duration> {
+    /// Returns the refusal that tells when an endpoint takes requests again, if none that could serve the
+    /// request takes any now
+    pub(super) fn not_before(&self, now: Instant) -> Option<Refusal> {
+        let reason = "endpoints take no requests now";
+        let (endpoint, wait, is_limited) = self.first_return(now)?;
+        if !is_limited {
+            return Some(Refusal::not_before(reason, wait));
+        }
+        // Callers that have given up by then need no place.
+        let is_in_time = now + wait < self.caller_deadline.unwrap_or(self.deadline);
+        let place = is_in_time.then(|| self.gateway.take_return(now, &endpoint));
+        Some(Refusal::at(reason, place.flatten().unwrap_or(wait)))
+    }
+
+    /// Returns the endpoint that takes requests again first, after which time, and whether that is a
+    /// matter of its limit; `None` if any takes some now
+    fn first_return(&self, now: Instant) -> Option<(Endpoint, Duration, bool)> {
         let catalog = self.gateway.catalog.borrow();
         let pool = self.gateway.pool.borrow();
+        let limits = &self.gateway.limits;
         let allowed = &self.route.allowed_regions;
-        let pauses: Option<Vec<Duration>> = catalog
-            .usable(now, &self.service)
-            .filter(|endpoint| allowed.is_empty() || allowed.contains(&endpoint.region))
-            .map(|endpoint| {
-                let pause = pool.pause_remaining(now, &endpoint.id);
-                pause.max(self.gateway.limits.withheld_for(now, endpoint))
-            })
-            .collect();
-        pauses?.into_iter().min()
+        let mut first: Option<(&Endpoint, Duration, bool)> = None;
+        for endpoint in catalog.usable(now, &self.service) {
+            if !allowed.is_empty() && !allowed.contains(&endpoint.region) {
+                continue;
+            }
+            let pause = pool.pause_remaining(now, &endpoint.id);
+            let place = limits.return_wait(now, endpoint);
+            let Some(wait) = pause.max(place) else {
+                if self.fits_limit(now, endpoint) {
+                    return None;
+                }
+                continue;
+            };
+            if first.is_none_or(|(_, shortest, _)| wait < shortest) {
+                first = Some((endpoint, wait, place >= pause));
+            }
+        }
+        first.map(|(endpoint, wait, is_limited)| (endpoint.clone(), wait, is_limited))
     }
 
-    pub(super) fn refuse_paused(&mut self, pause: Duration) -> Reply {
-        let reason = "endpoints take no requests now";
-        self.record_result(reason, 503);
-        Reply::Local(Refusal::not_before(reason, pause))
+    pub(super) fn refuse_before(&mut self, refusal: Refusal) -> Reply {
+        self.record_result(refusal.reason, refusal.status);
+        Reply::Local(refusal)
     }
 
     pub(super) fn refuse(&mut self, reason: &'static str, wait: Duration) -> Reply {
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -118,6 +118,16 @@
         }
     }
 
+    /// Returns after which time a caller that is refused now may return to an endpoint, if this host
+    /// gets no permit for it now
+    pub fn return_wait(&self, now: Instant, endpoint: &Endpoint) -> Option<Duration> {
+        let register = self.register.borrow();
+        match register.is_empty() {
+            true => None,
+            false => register.return_wait(now, endpoint.run()),
+        }
+    }
+
     /// Returns whether a request may be sent to an endpoint under this permit
     pub fn allows(&self, now: Instant, endpoint: &Endpoint, permit: Permit) -> bool {
         self.rate(endpoint).is_none() || permit.ends_at.is_some_and(|end| now < end)
@@ -261,6 +271,31 @@
         }
     }
 
+    /// Takes a place among the refused callers that return to a limited endpoint; returns its time
+    pub(super) fn take_return(&self, now: Instant, endpoint: &Endpoint) -> Option<Duration> {
+        let parts = self.parts_of_demand(now, endpoint);
+        let mut register = self.limits.register.borrow_mut();
+        register.take_return(now, endpoint.run(), parts, fastrand::f64())
+    }
+
+    /// Returns how many times the demand of this host all hosts have that use an endpoint
+    fn parts_of_demand(&self, now: Instant, endpoint: &Endpoint) -> f64 {
+        let own = self.demand().get(&endpoint.service).copied();
+        let own = f64::from(own.unwrap_or_default());
+        let fleet = self.fleet.borrow();
+        let demand = fleet.demand_by_region(now, &endpoint.service);
+        let is_home = self.settings.borrow().region == endpoint.region;
+        let all: f64 = match demand.get(&endpoint.region) {
+            Some(regional) if is_home => *regional,
+            _ => demand.values().sum(),
+        };
+        let hosts = fleet.size().max(1) as f64;
+        match own > 0.0 {
+            true => (all / own).clamp(1.0, hosts),
+            false => hosts,
+        }
+    }
+
     fn encode_ask(
         &self,
         number: u64,
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -80,6 +80,16 @@
         }
     }
 
+    /// Creates an answer for a request that did not run and has a place after `wait`
+    pub fn at(reason: &'static str, wait: Duration) -> Self {
+        Self {
+            status: 503,
+            reason,
+            retry_after: Some(wait.max(MIN_RETRY_AFTER)),
+            quarantine_key: None,
+        }
+    }
+
     /// Creates an answer for a request that is refused because it made endpoints fail
     pub fn quarantined(key: quarantine::Key, time_left: Duration) -> Self {
         Self {
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -71,6 +71,8 @@
     bucket: Bucket,
     /// Time until which this host got no permit
     withheld_until: Option<Instant>,
+    /// Time at which the next refused caller may return, `None` if none was told a time
+    next_return: Option<Instant>,
     /// Ends of permits that arrived after their requests had gone elsewhere
     spare_permits: Vec<Instant>,
     listed_at: Instant,
@@ -129,6 +131,7 @@
                 statement,
                 bucket: Bucket::new(now, rate),
                 withheld_until: None,
+                next_return: None,
                 spare_permits: Vec::new(),
                 listed_at: now,
             };
@@ -142,6 +145,7 @@
         limit.statement = statement;
         if has_changed {
             limit.withheld_until = None;
+            limit.next_return = None;
             limit
                 .bucket
                 .set_rate(now, statement.rate.unwrap_or(MAX_RATE));
@@ -189,6 +193,41 @@
         }
     }
 
+    /// Returns after which time a caller that is refused now may return, if this host gets no permit for
+    /// an endpoint now: later than those that were refused before
+    pub fn return_wait(&self, now: Instant, run: EndpointRun) -> Option<Duration> {
+        let withheld_for = self.withheld_for(now, run)?;
+        let next_return = self.limits.get(&run)?.next_return;
+        let behind = next_return.map(|at| at.saturating_duration_since(now));
+        Some(withheld_for.max(behind.unwrap_or_default()))
+    }
+
+    /// Takes the place of a caller that returns after the time of [`Self::return_wait`]; returns its
+    /// own time
+    ///
+    /// This host counts with one of `parts` equal parts of the limit. `phase`, drawn from 0 to 1, keeps
+    /// the first callers of several hosts apart.
+    pub fn take_return(
+        &mut self,
+        now: Instant,
+        run: EndpointRun,
+        parts: f64,
+        phase: f64,
+    ) -> Option<Duration> {
+        let wait = self.return_wait(now, run)?;
+        let parts = parts.max(1.0);
+        let interval = Duration::from_secs_f64(parts / self.rate(run)?);
+        let limit = self.limits.get_mut(&run)?;
+        let is_first = limit.next_return.is_none_or(|at| at < now + wait);
+        let others = interval.mul_f64(1.0 - 1.0 / parts);
+        let wait = match is_first {
+            true => wait + others.mul_f64(phase),
+            false => wait,
+        };
+        limit.next_return = Some(now + wait + interval);
+        Some(wait)
+    }
+
     /// Keeps a permit whose request went elsewhere for the next one
     pub fn put_spare(&mut self, run: EndpointRun, ends_at: Instant) {
         if let Some(limit) = self.limits.get_mut(&run) {
--- a/src/limit/tests/mod.rs
+++ b/src/limit/tests/mod.rs
@@ -1,3 +1,4 @@
+mod returns;
 mod schedules;
 mod statements;
 
--- a/tests/endpoint_limit.rs
+++ b/tests/endpoint_limit.rs
@@ -7,11 +7,12 @@
 use std::time::{Duration, Instant};
 
 use smol::Timer;
+use tanagerpier::message::{Connection, timeout};
 use tanagerpier::platform::standin::endpoint::Faults;
 
-use site::Site;
 use site::limit::{HEED_TIME, WINDOW, allowed, counted_arrivals, most_in_window};
 use site::load::{Load, arrivals_by_host};
+use site::{HOST_NAME, Site};
 
 /// Number of callers, which send about 600 requests a second in all
 const CALLERS: usize = 30;
@@ -261,3 +262,90 @@
     }));
     assert!(broken.is_empty(), "{}", broken.join("\n"));
 }
+
+/// Callers that come at the same moment, ten at each host
+const BURST: usize = 60;
+
+/// Time that these callers have; a third of it is more than their number needs at the limits
+const PATIENCE: Duration = Duration::from_secs(12);
+
+/// Ratio of the callers that return as told and must be served then
+const MIN_TRUE: f64 = 0.8;
+
+/// Sends a request until it is served, each time on a new connection and after the time that the refusal
+/// told, but within a third of the time left; returns the number of refusals, and whether it was served
+async fn call(host: SocketAddr, number: usize) -> (usize, bool) {
+    let deadline = Instant::now() + PATIENCE;
+    let mut refused = 0;
+    loop {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let exchange = async {
+            let connection = Connection::connect(host, Duration::from_secs(1)).await;
+            let mut connection = connection.ok()?;
+            let request = format!(
+                "GET /safe/{number} HTTP/1.1\r\nHost: {HOST_NAME}\r\nAttempt-Id: burst-{number}\r\n\
+                 Request-Deadline: {}\r\nConnection: close\r\n\r\n",
+                left.as_millis()
+            );
+            connection.write(request.as_bytes(), deadline).await.ok()?;
+            connection.read_response("GET").await.ok()
+        };
+        let answer = timeout(deadline, exchange).await.flatten();
+        let answer = match answer {
+            Some(answer) if answer.status == 503 => answer,
+            answer => return (refused, answer.is_some_and(|answer| answer.status == 200)),
+        };
+        refused += 1;
+        let told = answer.headers.get("Retry-After");
+        let told = told.and_then(|text| text.parse().ok());
+        let told = told.map_or(Duration::ZERO, Duration::from_secs_f64);
+        Timer::after(told.min(left / 3)).await;
+    }
+}
+
+// All callers that are refused at once must not be told the same time, at which one of them is served.
+#[test]
+fn callers_that_return_when_told_are_refused_again() {
+    let broken = site::collect(std::iter::once(async {
+        let mut site = Site::start_with_capacity(3, 2, (3, Duration::from_millis(20))).await;
+        (0..site.servers.len()).for_each(|index| site.register_without_proxy(index));
+        for server in &site.servers {
+            server.endpoint.set_faults(Faults {
+                server_limit: Some("5"),
+                ..Faults::default()
+            });
+        }
+        // Hosts hear of the limits, and forget what they told.
+        let mut load = Load::with_callers(&site, Duration::from_secs(3), 12);
+        load.hosts_by_attempt().await;
+        Timer::after(Duration::from_secs(3)).await;
+        let start = Instant::now();
+        let callers = (0..BURST).map(|number| {
+            let host = load.hosts[number % load.hosts.len()];
+            smol::spawn(call(host, number))
+        });
+        let callers: Vec<_> = callers.collect();
+        let (mut first, mut again, mut served) = (0, 0, 0);
+        for caller in callers {
+            let (refused, is_served) = caller.await;
+            first += usize::from(refused > 0);
+            again += refused.saturating_sub(1);
+            served += usize::from(is_served);
+        }
+        let returned = first + again;
+        println!(
+            "{BURST} callers: {first} refused, {returned} returns, {again} of them refused again, \
+             {served} served after {:.1?}",
+            start.elapsed()
+        );
+        let mut broken = Vec::new();
+        if served < BURST {
+            broken.push(format!("{served} of {BURST} served"));
+        }
+        if ((returned - again) as f64) < MIN_TRUE * returned as f64 {
+            broken.push(format!("{again} of {returned} returns refused again"));
+        }
+        broken
+    }));
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
