--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod reply;
 mod source;
+mod statement;
 mod store_gate;
 mod stream;
 mod supervise;
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -32,6 +32,10 @@
 /// Rate from which on a limit is not enforced, in requests a second; no endpoint serves as many
 pub const MAX_RATE: f64 = 100_000.0;
 
+/// Longest time for which a host goes without a permit before it asks again; the lowest rate takes 10 s
+/// and a hand-over
+const MAX_WAIT: Duration = Duration::from_millis(11_500);
+
 /// How long it is told that an endpoint has no limit any more
 const WITHDRAWAL_TTL: Duration = Duration::from_secs(5);
 
@@ -67,6 +71,8 @@
     bucket: Bucket,
     /// Time until which this host got no permit
     withheld_until: Option<Instant>,
+    /// Time at which the next refused caller may return, `None` if none was told a time
+    next_return: Option<Instant>,
     /// Ends of permits that arrived after their requests had gone elsewhere
     spare_permits: Vec<Instant>,
     listed_at: Instant,
@@ -74,7 +80,12 @@
 
 /// Limits of the endpoints, by run
 #[derive(Debug, Default)]
-pub struct Register(BTreeMap<EndpointRun, Limit>);
+pub struct Register {
+    limits: BTreeMap<EndpointRun, Limit>,
+    /// When endpoints without a known limit last stated that they have none; older news of a limit may
+    /// still arrive
+    unlimited_at: BTreeMap<EndpointRun, Instant>,
+}
 
 impl Register {
     /// Creates a register without limits
@@ -84,31 +95,47 @@
 
     /// Returns whether no limit is known
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.limits.is_empty()
     }
 
     /// Returns the number of endpoints with a limit
     pub fn count(&self) -> usize {
-        let limits = self.0.values();
+        let limits = self.limits.values();
         limits
             .filter(|limit| limit.statement.rate.is_some())
             .count()
     }
 
     /// Records a statement if it is later than the known one; returns whether the rate changed
+    ///
+    /// A rate that is negative or NaN states nothing.
     pub fn record(&mut self, now: Instant, run: EndpointRun, statement: Statement) -> bool {
-        let Some(limit) = self.0.get_mut(&run) else {
+        if statement
+            .rate
+            .is_some_and(|rate| rate < 0.0 || rate.is_nan())
+        {
+            return false;
+        }
+        let Some(limit) = self.limits.get_mut(&run) else {
+            let unlimited_at = self.unlimited_at.get(&run).copied();
             let Some(rate) = statement.rate else {
+                let latest = unlimited_at.max(Some(statement.heard_at));
+                self.unlimited_at.extend(latest.map(|at| (run, at)));
                 return false;
             };
+            if unlimited_at > Some(statement.heard_at) {
+                return false;
+            }
+            self.unlimited_at.remove(&run);
             let limit = Limit {
                 statement,
                 bucket: Bucket::new(now, rate),
                 withheld_until: None,
+                next_return: None,
                 spare_permits: Vec::new(),
                 listed_at: now,
             };
-            self.0.insert(run, limit);
+            self.limits.insert(run, limit);
             return true;
         };
         if statement.heard_at < limit.statement.heard_at {
@@ -118,6 +145,7 @@
         limit.statement = statement;
         if has_changed {
             limit.withheld_until = None;
+            limit.next_return = None;
             limit
                 .bucket
                 .set_rate(now, statement.rate.unwrap_or(MAX_RATE));
@@ -125,20 +153,32 @@
         has_changed
     }
 
-    /// Returns what is known of an endpoint, if it ever named a limit
+    /// Returns what is known of an endpoint's limit
     pub fn statement(&self, run: EndpointRun) -> Option<Statement> {
-        self.0.get(&run).map(|limit| limit.statement)
+        if let Some(limit) = self.limits.get(&run) {
+            return Some(limit.statement);
+        }
+        let heard_at = self.unlimited_at.get(&run).copied()?;
+        Some(Statement {
+            rate: None,
+            heard_at,
+        })
+    }
+
+    /// Returns whether an endpoint ever named a limit
+    pub fn has_named(&self, run: EndpointRun) -> bool {
+        self.limits.contains_key(&run)
     }
 
     /// Returns the requests a second that an endpoint takes, if it limits them
     pub fn rate(&self, run: EndpointRun) -> Option<f64> {
-        let rate = self.0.get(&run)?.statement.rate?;
+        let rate = self.limits.get(&run)?.statement.rate?;
         (rate < MAX_RATE).then_some(rate.max(MIN_RATE))
     }
 
     /// Returns for how long an endpoint gets no request from this host because of its limit
     pub fn withheld_for(&self, now: Instant, run: EndpointRun) -> Option<Duration> {
-        let limit = self.0.get(&run)?;
+        let limit = self.limits.get(&run)?;
         limit.statement.rate?;
         let is_permitted = limit.spare_permits.iter().any(|end| now < *end);
         let remaining = limit.withheld_until?.saturating_duration_since(now);
@@ -146,22 +186,58 @@
     }
 
     /// Records that this host gets no permit for an endpoint for some time
-    pub fn withhold(&mut self, run: EndpointRun, until: Instant) {
-        if let Some(limit) = self.0.get_mut(&run) {
+    pub fn withhold(&mut self, now: Instant, run: EndpointRun, wait: Duration) {
+        if let Some(limit) = self.limits.get_mut(&run) {
+            let until = now + wait.min(MAX_WAIT);
             limit.withheld_until = limit.withheld_until.max(Some(until));
         }
     }
 
+    /// Returns after which time a caller that is refused now may return, if this host gets no permit for
+    /// an endpoint now: later than those that were refused before
+    pub fn return_wait(&self, now: Instant, run: EndpointRun) -> Option<Duration> {
+        let withheld_for = self.withheld_for(now, run)?;
+        let next_return = self.limits.get(&run)?.next_return;
+        let behind = next_return.map(|at| at.saturating_duration_since(now));
+        Some(withheld_for.max(behind.unwrap_or_default()))
+    }
+
+    /// Takes the place of a caller that returns after the time of [`Self::return_wait`]; returns its
+    /// own time
+    ///
+    /// This host counts with one of `parts` equal parts of the limit. `phase`, drawn from 0 to 1, keeps
+    /// the first callers of several hosts apart.
+    pub fn take_return(
+        &mut self,
+        now: Instant,
+        run: EndpointRun,
+        parts: f64,
+        phase: f64,
+    ) -> Option<Duration> {
+        let wait = self.return_wait(now, run)?;
+        let parts = parts.max(1.0);
+        let interval = Duration::from_secs_f64(parts / self.rate(run)?);
+        let limit = self.limits.get_mut(&run)?;
+        let is_first = limit.next_return.is_none_or(|at| at < now + wait);
+        let others = interval.mul_f64(1.0 - 1.0 / parts);
+        let wait = match is_first {
+            true => wait + others.mul_f64(phase),
+            false => wait,
+        };
+        limit.next_return = Some(now + wait + interval);
+        Some(wait)
+    }
+
     /// Keeps a permit whose request went elsewhere for the next one
     pub fn put_spare(&mut self, run: EndpointRun, ends_at: Instant) {
-        if let Some(limit) = self.0.get_mut(&run) {
+        if let Some(limit) = self.limits.get_mut(&run) {
             limit.spare_permits.push(ends_at);
         }
     }
 
     /// Takes a kept permit that has not ended; returns its end
     pub fn take_spare(&mut self, now: Instant, run: EndpointRun) -> Option<Instant> {
-        let limit = self.0.get_mut(&run)?;
+        let limit = self.limits.get_mut(&run)?;
         limit.spare_permits.retain(|end| now < *end);
         limit.spare_permits.pop()
     }
@@ -170,7 +246,7 @@
     ///
     /// `owner_since` is the time since which this host is the owner.
     pub fn decide(&mut self, now: Instant, run: EndpointRun, owner_since: Instant) -> Verdict {
-        let Some(limit) = self.0.get_mut(&run) else {
+        let Some(limit) = self.limits.get_mut(&run) else {
             return Verdict::Unlimited;
         };
         if limit.statement.rate.is_none_or(|rate| rate >= MAX_RATE) {
@@ -194,7 +270,10 @@
         now: Instant,
         is_owned: impl Fn(EndpointRun) -> bool,
     ) -> Vec<(EndpointRun, Statement)> {
-        let statements = self.0.iter().map(|(run, limit)| (*run, limit.statement));
+        let statements = self
+            .limits
+            .iter()
+            .map(|(run, limit)| (*run, limit.statement));
         let current = statements.filter(|(_, statement)| {
             statement.rate.is_some() || now < statement.heard_at + WITHDRAWAL_TTL
         });
@@ -204,7 +283,9 @@
     /// Drops the limits of endpoints that are gone, and what is known of those that have had none for
     /// long
     pub fn expire(&mut self, now: Instant, is_listed: impl Fn(EndpointRun) -> bool) {
-        self.0.retain(|run, limit| {
+        self.unlimited_at
+            .retain(|_, heard_at| now < *heard_at + UNUSED_TTL);
+        self.limits.retain(|run, limit| {
             if is_listed(*run) {
                 limit.listed_at = now;
             }
