Send nothing to an endpoint after the time limit of its caller

Cause: the last look before a request is written asked whether the endpoint takes it, not whether its time is over. A connection that is ready is used before a timer is looked at, so a host that stood still while it connected wrote the request when it went on, seconds after its caller's limit. Change: the last look compares the clock with the deadline; what was never written is answered 503, which is true.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -171,11 +171,13 @@
     }
 
     /// Returns whether the request may be sent now; seconds may have passed since the endpoint was
-    /// chosen
+    /// chosen, also because this process stood still
     fn may_send(&self, limits: Limits) -> bool {
         let gateway = &self.gateway;
-        advice::may_send(gateway, &self.endpoint, self.permit)
-            && gateway.may_start(Instant::now(), &self.route, limits.deadline)
+        let now = Instant::now();
+        now < limits.deadline
+            && advice::may_send(gateway, &self.endpoint, self.permit)
+            && gateway.may_start(now, &self.route, limits.deadline)
     }
 
     /// Returns the time since the request was sent
--- a/tests/site/raw.rs
+++ b/tests/site/raw.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use smol::lock::Mutex as Gate;
 use smol::net::TcpListener;
+use socket2::{Domain, Socket, Type};
 use tanagerpier::message::{Connection, Request};
 
 use super::{REGIONS, SERVICE, Site};
@@ -18,27 +20,43 @@
     pub address: SocketAddr,
     /// Attempt ids of the requests that arrived, and when
     arrivals: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// Locked while the endpoint accepts no connections, but for one that it may be waiting for
+    pub gate: Arc<Gate<()>>,
 }
 
 impl RawEndpoint {
     /// Starts an endpoint in the first region; `answer` writes the answer to a request and returns the
     /// connection if it stays open
     pub async fn start<A, F>(site: &Site, id: &str, answer: A) -> Self
+    where
+        A: Fn(Request, Connection) -> F + Clone + Send + 'static,
+        F: Future<Output = Option<Connection>> + Send,
+    {
+        Self::start_with_backlog(site, id, 128, answer).await
+    }
+
+    /// Starts an endpoint as [`RawEndpoint::start`] does, with the number of connections that wait to be
+    /// accepted
+    pub async fn start_with_backlog<A, F>(site: &Site, id: &str, backlog: i32, answer: A) -> Self
     where
         A: Fn(Request, Connection) -> F + Clone + Send + 'static,
         F: Future<Output = Option<Connection>> + Send,
     {
         let ip = site.servers[0].address.ip();
-        let listener = TcpListener::bind(SocketAddr::new(ip, 0)).await;
-        let listener = listener.expect("the endpoint listens");
+        let listener = listen(SocketAddr::new(ip, 0), backlog).expect("the endpoint listens");
         let endpoint = Self {
             id: id.to_owned(),
             address: listener.local_addr().expect("it has an address"),
             arrivals: Arc::default(),
+            gate: Arc::default(),
         };
         let serving = endpoint.clone();
         let accept_loop = async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                drop(serving.gate.lock().await);
+                let Ok((stream, _)) = listener.accept().await else {
+                    return;
+                };
                 let (endpoint, answer) = (serving.clone(), answer.clone());
                 let served = async move {
                     let mut open = Connection::new(stream).ok();
@@ -69,6 +87,11 @@
         arrivals.iter().filter(|(id, _)| id == attempt_id).count()
     }
 
+    /// Returns the attempt ids of all requests that arrived, and when
+    pub fn all_arrivals(&self) -> Vec<(String, Instant)> {
+        self.arrivals.lock().expect("no panic").clone()
+    }
+
     /// Returns the content of the endpoint's entry
     pub fn spec(&self, state: &str, sequence: u64) -> Value {
         json!({
@@ -85,6 +108,13 @@
     }
 }
 
+fn listen(address: SocketAddr, backlog: i32) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.bind(&address.into())?;
+    socket.listen(backlog)?;
+    TcpListener::try_from(std::net::TcpListener::from(socket))
+}
+
 /// Returns the attempt id of a request, empty without one
 pub fn attempt_id(request: &Request) -> &str {
     request.headers.get("Attempt-Id").unwrap_or_default()
