--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -141,7 +141,10 @@
                 return result;
             };
             let connection = idle::Connection::new(stream);
-            return self.exchange(address, connection, request, deadline).await;
+            return match self.exchange(address, connection, request, deadline).await {
+                Err(Error::NotSent(..)) => result,
+                again => again,
+            };
         }
         result
     }
@@ -153,6 +156,11 @@
         request: &Request,
         deadline: Instant,
     ) -> Result<Reply, Error> {
+        // A ready connection is written to before a timer is looked at, also if this process stood still.
+        if Instant::now() >= deadline {
+            let reason = "deadline has passed".to_owned();
+            return Err(Error::NotSent(address, reason));
+        }
         let own_id = wire_id(request);
         let mut history = idle.history;
         let distinction = history.distinction(Some(&own_id));
--- a/src/upstream/tests/reuse.rs
+++ b/src/upstream/tests/reuse.rs
@@ -26,6 +26,44 @@
     }
 }
 
+// A request must not be sent once its caller has been told that its time is over.
+#[test]
+fn request_is_sent_after_its_deadline() {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (received_sender, received) = smol::channel::unbounded();
+        let server = smol::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            while read_request(&mut stream).await {
+                received_sender.send(()).await.unwrap();
+                stream.write_all(COMPLETE_RESPONSE).await.unwrap();
+            }
+        });
+        let client = Client::new();
+        let outcome = send(&client, address, "POST").await;
+        assert_eq!(outcome, complete(b"ok"));
+        let late = Request {
+            id: 7,
+            ..request("POST")
+        };
+        for method in ["POST", "GET"] {
+            let late = Request {
+                method: method.into(),
+                ..late.clone()
+            };
+            let sent = client.send(address, &late, Instant::now()).await;
+            assert!(
+                matches!(sent, Err(Error::NotSent(..))),
+                "{method}: {sent:?}"
+            );
+        }
+        Timer::after(Duration::from_millis(100)).await;
+        server.cancel().await;
+        assert_eq!(received.len(), 1, "requests that the upstream got");
+    });
+}
+
 // A connection that may carry no more requests must not take the place of one that may.
 #[test]
 fn full_connections_end_the_reuse_of_others() {
