Heed no report of a host that is older than the last one

Cause: reports by datagram had no order, so one that came late or twice replaced a newer one in load, demand and what is known of readers, for 1.5 to 4 s. Change: a seventh part of the report is its number, which begins at the time of day in microseconds, so that the next process at the address has higher ones. A lower or equal number is not heeded for 4 s, but shows that its sender lives, and its news of crashes are merged. Earlier versions read six parts and ignore the rest; their reports, without a number, are heeded as before. Mixed versions were not played as processes.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod lag;
 mod owner;
 mod readers;
+mod sequence;
 
 #[cfg(test)]
 mod tests;
@@ -28,6 +29,7 @@
 pub use lag::{LAG_TOLERANCE, LagDetector, Watermark};
 pub use owner::{Electorate, Owner};
 pub use readers::READERS_PER_REGION;
+pub use sequence::first_sequence;
 
 /// Number of ring successors that each host pings; enough that neighbors rarely fail together
 pub const WATCHED_SUCCESSORS: usize = 4;
@@ -117,6 +119,8 @@
     unresponsive: BTreeSet<HostId>,
     /// Which hosts can read the store, and which cannot
     readers: readers::Observations,
+    /// Numbers of the latest reports of other hosts
+    sequences: sequence::Sequences,
     /// Whether the next list is the first one of a store that came back from an older copy
     is_restoring: bool,
 }
@@ -171,6 +175,7 @@
         self.demand_reports
             .retain(|host, _| members.contains_key(host));
         self.unresponsive.retain(|host| members.contains_key(host));
+        self.sequences.retain(|host| members.contains_key(host));
         self.unresponsive.extend(outdated);
     }
 
@@ -203,6 +208,7 @@
         self.last_heard.remove(host);
         self.watched_since.remove(host);
         self.unresponsive.remove(host);
+        self.sequences.retain(|other| other != host);
         self.forget_heartbeats(host);
         let Some(member) = self.members.remove(host) else {
             return false;
@@ -302,12 +308,25 @@
 
     /// Records a report received from a host
     pub fn record_report(&mut self, now: Instant, report: &Report) {
-        self.last_heard.insert(report.host.clone(), now);
-        self.unresponsive.remove(&report.host);
+        self.record_sign_of_life(now, &report.host);
         let demand = (now, report.region.clone(), report.demand.clone());
         self.demand_reports.insert(report.host.clone(), demand);
     }
 
+    /// Records the number of a report received from a host, 0 for none; returns whether the report is
+    /// newer than those received before
+    ///
+    /// An older one still shows that the host runs.
+    pub fn record_sequence(&mut self, now: Instant, host: &HostId, sequence: u64) -> bool {
+        self.sequences.record(now, host, sequence)
+    }
+
+    /// Records that a host was heard of whose report is not used
+    pub fn record_sign_of_life(&mut self, now: Instant, host: &HostId) {
+        self.last_heard.insert(host.clone(), now);
+        self.unresponsive.remove(host);
+    }
+
     /// Returns the watched hosts that stay silent and whose entries should be removed
     ///
     /// A host that was paused or partitioned itself receives no reports at all. So if all
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -38,6 +38,8 @@
     pub held: Digest,
     /// Limits of endpoints about which the sender decides
     pub limits: Vec<LimitNews>,
+    /// Number of the report, higher than those of earlier ones of the sender; 0 if it states none
+    pub sequence: u64,
 }
 
 /// Run of an endpoint, the requests a second that it takes, and the age of that in milliseconds
@@ -48,7 +50,8 @@
 /// The oldest of them do not know [`Kind::Quarantine`], so its watermark is in the second part. The
 /// third has the eras of the watermarks, if the store states any, the fourth whether the sender cannot
 /// read the store and the demand of its region, the fifth whether it reads the store, who else does,
-/// and what it holds, and the sixth limits of endpoints, if there is any of it to tell.
+/// and what it holds, and the sixth limits of endpoints, if there is any of it to tell. The seventh is
+/// the number of the report.
 pub fn encode(message: &Message) -> Vec<u8> {
     let mut watermarks = message.watermarks.clone();
     let quarantine = watermarks.remove(&Kind::Quarantine);
@@ -61,7 +64,8 @@
         .iter()
         .map(|(kind, mark)| (*kind, mark.era));
     let eras: BTreeMap<Kind, Era> = eras.filter(|(_, era)| *era > 0).collect();
-    let has_sixth_part = !message.limits.is_empty();
+    let has_seventh_part = message.sequence > 0;
+    let has_sixth_part = has_seventh_part || !message.limits.is_empty();
     let has_fifth_part = has_sixth_part
         || message.reads_store
         || message.store_reader.is_some()
@@ -85,6 +89,10 @@
         let sixth = postcard::to_stdvec(&message.limits);
         bytes.extend(sixth.expect("plain data is always encoded"));
     }
+    if has_seventh_part {
+        let seventh = postcard::to_stdvec(&message.sequence);
+        bytes.extend(seventh.expect("plain data is always encoded"));
+    }
     bytes
 }
 
@@ -99,6 +107,7 @@
     let mut store_reader: Option<(HostId, u64)> = None;
     let mut held = 0;
     let mut limits = Vec::new();
+    let mut sequence = 0;
     if !rest.is_empty() {
         let (added, rest) = postcard::take_from_bytes(rest)?;
         let quarantine: Option<Watermark>;
@@ -115,7 +124,11 @@
                 let (fifth, rest) = postcard::take_from_bytes(rest)?;
                 (reads_store, store_reader, held) = fifth;
                 if !rest.is_empty() {
-                    limits = postcard::from_bytes(rest)?;
+                    let (sixth, rest) = postcard::take_from_bytes(rest)?;
+                    limits = sixth;
+                    if !rest.is_empty() {
+                        sequence = postcard::from_bytes(rest)?;
+                    }
                 }
             }
         }
@@ -140,6 +153,7 @@
         store_reader: store_reader.map(|(host, age)| (host, bound::millis(age))),
         held,
         limits,
+        sequence,
     })
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{LocalExecutor, Task};
@@ -146,6 +146,8 @@
     without_source: RefCell<BTreeMap<Kind, Instant>>,
     /// Full while reports are to be sent at once, since a request crashed an endpoint
     urgent_news: (Sender<()>, Receiver<()>),
+    /// Number of the last report to other hosts
+    sequence: Cell<u64>,
     /// Planned stop, once it has begun
     stop: Cell<Option<Grace>>,
     /// Longest recent attempts of requests
@@ -199,6 +201,7 @@
             store_reads: Cell::default(),
             without_source: RefCell::default(),
             urgent_news: bounded(1),
+            sequence: Cell::new(fleet::first_sequence(SystemTime::now())),
             stop: Cell::default(),
             longest: RefCell::default(),
             open_connections: Cell::new(0),
@@ -218,6 +221,12 @@
         let _ = self.urgent_news.0.try_send(());
     }
 
+    /// Returns the number of the next report to other hosts
+    fn next_sequence(&self) -> u64 {
+        self.sequence.set(self.sequence.get() + 1);
+        self.sequence.get()
+    }
+
     /// Logs the level of the memory for requests if it has changed
     fn record_memory_level(&self) {
         let level = self.memory.level();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -68,21 +68,11 @@
         if limit::receive(&gateway, &socket, sender, &buffer[..length]).await {
             continue;
         }
-        let Ok(Message {
-            report,
-            watermarks,
-            suspects,
-            cannot_read_store,
-            region_demand,
-            reads_store,
-            store_reader,
-            held,
-            limits,
-        }) = decode(&buffer[..length])
-        else {
+        let Ok(message) = decode(&buffer[..length]) else {
             log::debug!("cannot decode a datagram from {sender}");
             continue;
         };
+        let report = &message.report;
         if !gateway
             .fleet
             .borrow()
@@ -90,62 +80,72 @@
         {
             continue;
         }
-        let now = Instant::now();
-        {
-            let mut fleet = gateway.fleet.borrow_mut();
-            fleet.record_report(now, &report);
-            if cannot_read_store {
-                fleet.record_reader_failure(now, &report.host);
-            }
-            match reads_store {
-                true => fleet.record_store_reader(now, &report.host),
-                false => fleet.forget_store_reader(&report.host),
-            }
-            if let Some((host, age)) = store_reader
-                && let Some(at) = now.checked_sub(age)
-            {
-                fleet.record_store_reader_heard(at, &host);
-            }
-            if !region_demand.is_empty() && report.region != gateway.settings.borrow().region {
-                fleet.record_region_demand(now, report.region.clone(), region_demand);
-            }
-        }
-        {
-            let own = match held {
-                0 => 0,
-                _ => holdover_sync::own_digest(&gateway),
-            };
-            let eras = watermarks.values().map(|watermark| watermark.era);
-            let era = eras.max().unwrap_or(0);
-            let mut offers = gateway.offers.borrow_mut();
-            offers.record(now, &report.host, held, own, era);
-        }
-        if !report.running.is_empty() || report.region == gateway.settings.borrow().region {
-            let mut pool = gateway.pool.borrow_mut();
-            pool.record_host_report(now, report.host.clone(), report.running.clone());
-        }
         let is_own_region = report.region == gateway.settings.borrow().region;
-        let source = match is_own_region {
-            true => Source::Region,
-            false => Source::Elsewhere,
-        };
-        for (key, record) in &suspects {
-            quarantine::merge(&gateway, *key, record, source);
-        }
-        gateway.record_limit_news(now, &limits);
+        record(&gateway, Instant::now(), &message);
         if report.ping {
             send_reports(&gateway, &socket, &[(sender, is_own_region)], false).await;
         }
         request_resyncs(
             &gateway,
             &mut lag,
-            &report.host,
-            &watermarks,
+            &message.report.host,
+            &message.watermarks,
             &resync_senders,
         );
     }
 }
 
+/// Records what a listed host tells; of a report that is older than the last one, only what is true
+/// whenever it comes
+pub(super) fn record(gateway: &Gateway, now: Instant, message: &Message) {
+    let report = &message.report;
+    let is_own_region = report.region == gateway.settings.borrow().region;
+    let source = match is_own_region {
+        true => Source::Region,
+        false => Source::Elsewhere,
+    };
+    for (key, record) in &message.suspects {
+        quarantine::merge(gateway, *key, record, source);
+    }
+    {
+        let mut fleet = gateway.fleet.borrow_mut();
+        if !fleet.record_sequence(now, &report.host, message.sequence) {
+            return fleet.record_sign_of_life(now, &report.host);
+        }
+        fleet.record_report(now, report);
+        if message.cannot_read_store {
+            fleet.record_reader_failure(now, &report.host);
+        }
+        match message.reads_store {
+            true => fleet.record_store_reader(now, &report.host),
+            false => fleet.forget_store_reader(&report.host),
+        }
+        if let Some((host, age)) = &message.store_reader
+            && let Some(at) = now.checked_sub(*age)
+        {
+            fleet.record_store_reader_heard(at, host);
+        }
+        if !message.region_demand.is_empty() && !is_own_region {
+            let demand = message.region_demand.clone();
+            fleet.record_region_demand(now, report.region.clone(), demand);
+        }
+    }
+    let own = match message.held {
+        0 => 0,
+        _ => holdover_sync::own_digest(gateway),
+    };
+    let eras = message.watermarks.values().map(|watermark| watermark.era);
+    let era = eras.max().unwrap_or(0);
+    let mut offers = gateway.offers.borrow_mut();
+    offers.record(now, &report.host, message.held, own, era);
+    drop(offers);
+    if !report.running.is_empty() || is_own_region {
+        let mut pool = gateway.pool.borrow_mut();
+        pool.record_host_report(now, report.host.clone(), report.running.clone());
+    }
+    gateway.record_limit_news(now, &message.limits);
+}
+
 /// Has the kinds read again that stay behind what another host has read
 fn request_resyncs(
     gateway: &Gateway,
@@ -265,6 +265,7 @@
             false => region_demand(gateway, &settings.region),
         },
         limits: gateway.limit_news(now),
+        sequence: gateway.next_sequence(),
     };
     encode(&message)
 }
--- a/src/gateway/tests/datagram.rs
+++ b/src/gateway/tests/datagram.rs
@@ -21,6 +21,7 @@
         store_reader: Some(("edge-2".into(), Duration::from_millis(1200))),
         held: 7,
         limits: vec![(u64::MAX, Some(0.5), 20)],
+        sequence: 1_800_000_000_000_000,
         ..message(&Kind::ALL, 2, 4)
     }
 }
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -9,6 +9,7 @@
 mod mirror;
 mod peers;
 mod reply;
+mod reports;
 mod source;
 mod store_gate;
 mod stream;
--- a/src/gateway/tests/peers.rs
+++ b/src/gateway/tests/peers.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use crate::fleet::{Report, Watermark};
-use crate::gateway::datagram::{Message, decode, encode};
-use crate::id::ServiceId;
+use crate::gateway::datagram::{LimitNews, Message, decode, encode};
+use crate::id::{HostId, ServiceId};
 use crate::platform::store::{Era, Kind};
 use crate::quarantine::{Key, Record};
 
@@ -37,6 +37,26 @@
         store_reader: None,
         held: 0,
         limits: Vec::new(),
+        sequence: 0,
+    }
+}
+
+/// Reads what is behind the third part as the version before the seventh part did
+fn assert_sixth_part(rest: &[u8], sent: &Message, name: &str) {
+    type Fourth = (bool, BTreeMap<ServiceId, f32>);
+    type Fifth = (bool, Option<(HostId, u64)>, u64);
+    let (_, rest): (Fourth, _) =
+        postcard::take_from_bytes(rest).expect("the fourth part is as before");
+    if rest.is_empty() {
+        return;
+    }
+    let (fifth, rest): (Fifth, _) =
+        postcard::take_from_bytes(rest).expect("the fifth part is as before");
+    assert_eq!((fifth.0, fifth.2), (sent.reads_store, sent.held), "{name}");
+    if !rest.is_empty() {
+        let limits: Vec<LimitNews> =
+            postcard::from_bytes(rest).expect("the sixth part is as before");
+        assert_eq!(limits, sent.limits, "{name}");
     }
 }
 
@@ -55,6 +75,8 @@
         held: u64,
         /// Limits of endpoints: run, requests a second, age in milliseconds
         limits: &'static [(u64, Option<f64>, u64)],
+        /// Number of the report, 0 for none
+        sequence: u64,
     }
     let none = Case {
         name: "",
@@ -66,6 +88,7 @@
         store_reader: None,
         held: 0,
         limits: &[],
+        sequence: 0,
     };
     let cases = [
         Case {
@@ -133,6 +156,23 @@
             limits: &[(u64::MAX, Some(0.0), 0)],
             ..none
         },
+        Case {
+            name: "a number and nothing else",
+            sequence: 1,
+            ..none
+        },
+        Case {
+            name: "a number beside all else",
+            suspects: 3,
+            era: 4,
+            cannot_read_store: true,
+            reads_store: true,
+            store_reader: Some("edge-2"),
+            held: 9,
+            limits: &[(u64::MAX, Some(0.0), 0)],
+            sequence: u64::MAX,
+            ..none
+        },
     ];
     for case in cases {
         let sent = Message {
@@ -144,6 +184,7 @@
             reads_store: case.reads_store,
             held: case.held,
             limits: case.limits.to_vec(),
+            sequence: case.sequence,
             store_reader: case
                 .store_reader
                 .map(|host| (host.into(), Duration::from_millis(1200))),
@@ -166,7 +207,7 @@
             postcard::take_from_bytes(rest).expect("the second part is as before");
         assert_eq!(suspects, sent.suspects, "{}", case.name);
         if !rest.is_empty() {
-            // The last version read four parts.
+            // An earlier version read four parts.
             let (_, rest): (BTreeMap<Kind, Era>, _) =
                 postcard::take_from_bytes(rest).expect("the third part is as before");
             if !rest.is_empty() {
@@ -174,6 +215,7 @@
                     postcard::from_bytes(rest).expect("the fourth part is as before");
                 let expected = (sent.cannot_read_store, sent.region_demand.clone());
                 assert_eq!(fourth, expected, "{}", case.name);
+                assert_sixth_part(rest, &sent, case.name);
             }
         }
         let earlier = postcard::to_stdvec(&parsed).expect("it is encoded");
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -329,7 +329,7 @@
     }
 
     /// Returns the number of requests at an endpoint from other hosts
-    fn load_from_other_hosts(&self, now: Instant, id: &EndpointId) -> u32 {
+    pub fn load_from_other_hosts(&self, now: Instant, id: &EndpointId) -> u32 {
         self.host_reports.load(now, short_id(id))
     }
 
