Test: copies of refusals beside reused addresses, reloads and stops

Plays that were never done: another service gets the address of an endpoint at once, eleven times in 16 s; hosts get SIGHUP every 150 ms and SIGTERM in turn. Endpoints refuse 0.4 of the requests and send each refusal, now also 421, once more. Callers try up to four times with one id.

--- a/src/platform/standin/copies.rs
+++ b/src/platform/standin/copies.rs
@@ -50,7 +50,9 @@
             LateCopies::Exact => self.next = answer.to_vec(),
             LateCopies::WithoutId => self.next = without_header(answer, "Attempt-Id: "),
         }
-        if position(answer, b"\r\nNot-Executed: 1\r\n", 0).is_none() {
+        let is_refusal = answer.starts_with(b"HTTP/1.1 421 ")
+            || position(answer, b"\r\nNot-Executed: 1\r\n", 0).is_some();
+        if !is_refusal {
             return;
         }
         match faults.refusal_copies {
--- a/src/platform/standin/endpoint.rs
+++ b/src/platform/standin/endpoint.rs
@@ -58,7 +58,7 @@
     pub late_copies: LateCopies,
     /// Ratio of requests that are refused and not executed
     pub refusal_ratio: f64,
-    /// Second copies of all refusals that say "not executed"
+    /// Second copies of all refusals: answers that say "not executed", and 421
     pub refusal_copies: RefusalCopies,
 }
 
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -90,6 +90,8 @@
     written: BTreeMap<(&'static str, String), serde_json::Value>,
     /// Endpoints that ended and whose addresses others have now
     pub former_endpoints: Vec<Endpoint>,
+    /// Endpoints of another service that have those addresses
+    pub other_endpoints: Vec<Endpoint>,
     options: Options,
     directory: PathBuf,
     subnet: [u8; 2],
@@ -143,6 +145,7 @@
             version: 0,
             written: BTreeMap::new(),
             former_endpoints: Vec::new(),
+            other_endpoints: Vec::new(),
             options,
             directory,
             subnet,
@@ -303,6 +306,7 @@
         other_task.detach();
         let entry = other.store_spec(OTHER_SERVICE, server.region, server.address, "ready");
         self.store.write("servers", other.id(), entry);
+        self.other_endpoints.push(other);
         server.address = address;
         server.task = Some(task);
         let former = std::mem::replace(&mut server.endpoint, successor);
