Log and count answers that were not believed

Cause: an answer that states another id, or that cannot be told from an earlier one, was skipped or ended the connection without a trace but the outcome of the request. Change: event answer-unbelieved (ids stated, status, whether it claims "not run", kept or new connection, what was done and why), within the budget of events; pier_gate_unbelieved_answers by what was done and why.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
 use receive::Received;
 use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
+use unbelieved::Unbelieved;
 
 use super::limit::Permit;
 use super::stream::RemainingBody;
@@ -26,6 +27,7 @@
 use crate::platform::header;
 
 mod receive;
+mod unbelieved;
 
 #[cfg(test)]
 mod tests;
@@ -432,7 +434,11 @@
         std::future::pending().await
     };
     let endpoint = &in_flight.endpoint.id;
-    let receiving = receive::read_head(&mut connection.stream, request, endpoint, distinction);
+    let notice = |answer: &Unbelieved<'_>| {
+        unbelieved::record(in_flight, request, distinction, answer);
+    };
+    let stream = &mut connection.stream;
+    let receiving = receive::read_head(stream, request, endpoint, distinction, notice);
     let answer = timeout(limits.deadline, receiving.or(sending)).await;
     let (head, verdict) = answer.unwrap_or(Err(Failure::TimedOut))?;
     Ok(Received {
--- a/src/gateway/exchange/receive.rs
+++ b/src/gateway/exchange/receive.rs
@@ -6,6 +6,7 @@
 
 use super::super::stream::{self, RemainingBody};
 use super::super::{Gateway, advice, idle};
+use super::unbelieved::{self, Unbelieved};
 use super::{EndpointAnswer, Failure, InFlight, Limits, Refused, pool_outcome};
 use crate::answer::{Distinction, Verdict};
 use crate::budget::memory::Hold;
@@ -18,7 +19,7 @@
 const MAX_BUFFERED_BYTES: usize = 192 << 10;
 
 /// Maximum number of answers to earlier requests that are skipped on one connection
-const MAX_STRAY_ANSWERS: usize = 2;
+pub const MAX_STRAY_ANSWERS: usize = 2;
 
 /// Answer whose head was read
 #[derive(Debug)]
@@ -35,24 +36,36 @@
     pub is_reused: bool,
 }
 
-/// Reads the head of the request's own answer, and what it proves; skips answers to other requests
+/// Reads the head of the request's own answer, and what it proves; skips answers to other requests, and
+/// passes each answer that is not believed to `notice`
 pub async fn read_head(
     connection: &mut Connection,
     request: &Request,
     endpoint: &str,
     distinction: Distinction,
+    notice: impl Fn(&Unbelieved<'_>),
 ) -> Result<(Response, Verdict), Failure> {
     let to_failure = |error: message::Error| Failure::Broken(error.to_string());
     for skipped in 0..=MAX_STRAY_ANSWERS {
         let head = connection.read_response(&request.method).await;
         let head = head.map_err(to_failure)?;
-        match header::judge(request, endpoint, &head, distinction, skipped) {
-            Verdict::Foreign => {
+        let verdict = header::judge(request, endpoint, &head, distinction, skipped);
+        let reason = match verdict {
+            Verdict::Foreign => unbelieved::FOREIGN,
+            Verdict::Unclear(reason) => reason,
+            Verdict::Own | Verdict::NotRun => return Ok((head, verdict)),
+        };
+        notice(&Unbelieved {
+            head: &head,
+            reason,
+            skipped,
+        });
+        match verdict {
+            Verdict::Unclear(reason) => return Err(Failure::Broken(reason.to_owned())),
+            _ => {
                 let body = connection.read_body(head.length, MAX_BUFFERED_BYTES).await;
                 body.map_err(to_failure)?;
             }
-            Verdict::Unclear(reason) => return Err(Failure::Broken(reason.to_owned())),
-            verdict => return Ok((head, verdict)),
         }
     }
     Err(Failure::Broken("answers to other requests".to_owned()))
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -33,6 +33,7 @@
     crashes: Counter<u64>,
     refused: Counter<u64>,
     repeated_ids: Counter<u64>,
+    unbelieved: Counter<u64>,
     broken_off: Counter<u64>,
     new_eras: Counter<u64>,
     panics: Counter<u64>,
@@ -85,6 +86,10 @@
                 "pier_gate_repeated_ids",
                 "Attempts for which a kept connection was passed over, as it had carried their id",
             ),
+            unbelieved: counter(
+                "pier_gate_unbelieved_answers",
+                "Answers that were not believed to be the request's own, by what was done and why",
+            ),
             broken_off: counter(
                 "pier_gate_answers_broken_off",
                 "Answers that were broken off because they exceeded a limit",
@@ -161,6 +166,12 @@
         self.repeated_ids.add(1, &[]);
     }
 
+    /// Counts an answer that was not believed
+    pub fn count_unbelieved(&self, done: &'static str, reason: &'static str) {
+        let labels = [KeyValue::new("done", done), KeyValue::new("reason", reason)];
+        self.unbelieved.add(1, &labels);
+    }
+
     /// Counts an answer that was broken off because it exceeded a limit
     pub fn count_broken_off(&self) {
         self.broken_off.add(1, &[]);
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -186,6 +186,11 @@
     usize::from(matches!(instances[..], [instance] if instance != endpoint))
 }
 
+/// Returns all attempt ids that an answer states; none if one of them is unreadable
+pub fn stated_ids(response: &Response) -> Vec<&str> {
+    response.headers.texts(ATTEMPT_ID).unwrap_or_default()
+}
+
 /// Returns whether an answer claims that the request did not run; [`judge`] tells what it proves
 pub fn is_not_executed(response: &Response) -> bool {
     response.headers.get(NOT_EXECUTED).is_some() || response.status == 421
--- a/tests/odd_answers.rs
+++ b/tests/odd_answers.rs
@@ -244,6 +244,12 @@
         }
     }
     println!("{fault:?}: {statuses:?}");
+    let is_told = site.read_log(0).contains("\"event\":\"answer-unbelieved\"");
+    if matches!(fault, Fault::CopyBefore | Fault::CopyWithoutId) && !is_told {
+        broken.push(format!(
+            "{fault:?}: no line of an answer that was not believed"
+        ));
+    }
     broken
 }
 
