--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
 use receive::Received;
 use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
+use unbelieved::Unbelieved;
 
 use super::limit::Permit;
 use super::stream::RemainingBody;
@@ -27,6 +28,7 @@
 use crate::platform::header;
 
 mod receive;
+mod unbelieved;
 
 #[cfg(test)]
 mod tests;
@@ -178,11 +180,13 @@
     }
 
     /// Returns whether the request may be sent now; seconds may have passed since the endpoint was
-    /// chosen
+    /// chosen, also because this process stood still
     fn may_send(&self, limits: Limits) -> bool {
         let gateway = &self.gateway;
-        advice::may_send(gateway, &self.endpoint, self.permit)
-            && gateway.may_start(Instant::now(), &self.route, limits.deadline)
+        let now = Instant::now();
+        now < limits.deadline
+            && advice::may_send(gateway, &self.endpoint, self.permit)
+            && gateway.may_start(now, &self.route, limits.deadline)
     }
 
     /// Returns the time since the request was sent
@@ -437,7 +441,11 @@
         std::future::pending().await
     };
     let endpoint = &in_flight.endpoint.id;
-    let receiving = receive::read_head(&mut connection.stream, request, endpoint, distinction);
+    let notice = |answer: &Unbelieved<'_>| {
+        unbelieved::record(in_flight, request, distinction, answer);
+    };
+    let stream = &mut connection.stream;
+    let receiving = receive::read_head(stream, request, endpoint, distinction, notice);
     let answer = timeout(limits.deadline, receiving.or(sending)).await;
     let (head, verdict) = answer.unwrap_or(Err(Failure::TimedOut))?;
     Ok(Received {
--- a/src/gateway/tests/mod.rs
+++ b/src/gateway/tests/mod.rs
@@ -10,6 +10,7 @@
 mod mirror;
 mod peers;
 mod reply;
+mod reports;
 mod source;
 mod statement;
 mod store_gate;
