Keep memory for routes whose callers read

Cause: 6,000 callers that do not read take the whole budget of a host of 160 MB for requests (4,096 of 16 KiB) for seconds, so others were refused although they would have needed little, and on another route.

Change: in the last sixteenth of the budget, new requests of a route are refused that has more than half of the budget in flight itself.

Others on the slow callers' own route cannot be told from those and are still refused when the budget is used up. Retry-After stays a guess of 1 to 2 s: what is held is released when callers read, of which only their deadlines are known.

--- a/src/budget/memory.rs
+++ b/src/budget/memory.rs
@@ -6,6 +6,9 @@
 //! | [`Level::Tight`] | up to all of it | no more bytes are buffered that serve only a retry |
 //! | [`Level::Short`] | more | new requests are refused as well |
 //!
+//! In the last sixteenth before that, requests of a route are refused that holds more than half of the
+//! budget itself, so that callers of one route that do not read leave room for those of others.
+//!
 //! What was admitted may always go on, so that more than the budget can be held: by what each admitted
 //! request may still buffer. A [`Hold`] says what its owner holds now and returns it when dropped.
 
@@ -19,6 +22,12 @@
 /// Part of the budget up to which bytes are buffered that serve only a retry
 const BUFFER_RATIO: f64 = 0.25;
 
+/// Part of the budget that is kept for routes which hold less than [`MAJOR_RATIO`] of it
+const RESERVED_RATIO: f64 = 1.0 / 16.0;
+
+/// Part of the budget from which on a route is refused what is kept for others
+const MAJOR_RATIO: f64 = 0.5;
+
 /// Memory limit below which a process is not started; two fifths of it hold some 400 requests in flight, or
 /// those of one connection with all that is buffered for them
 pub const MIN_PROCESS_BYTES: u64 = 16 << 20;
@@ -107,6 +116,14 @@
         self.level() != Level::Short
     }
 
+    /// Returns the same for a request of a route that has `running` others in flight
+    pub fn admits_route(&self, running: usize) -> bool {
+        let limit = self.limit.get() as f64;
+        let is_reserved = self.held.get() as f64 > limit * (1.0 - RESERVED_RATIO);
+        let is_major = running.saturating_mul(REQUEST_BYTES) as f64 > limit * MAJOR_RATIO;
+        self.admits() && !(is_reserved && is_major)
+    }
+
     fn change(&self, from: usize, to: usize) {
         self.held.set((self.held.get() + to).saturating_sub(from));
     }
--- a/src/budget/memory_tests.rs
+++ b/src/budget/memory_tests.rs
@@ -52,6 +52,36 @@
     }
 }
 
+// Callers of one route that do not read leave no memory for those of others.
+#[test]
+fn one_route_takes_all_memory() {
+    struct Case {
+        held_kb: usize,
+        /// Number of requests of the route in flight, of which 1,250 hold half of the budget
+        running: usize,
+        is_admitted: bool,
+    }
+    let cases = [
+        (37_500, 2400, true),
+        (37_501, 2400, false),
+        (37_501, 1251, false),
+        (37_501, 1250, true),
+        (40_000, 0, true),
+        (40_001, 0, false),
+    ];
+    let cases = cases.map(|(held_kb, running, is_admitted)| Case {
+        held_kb,
+        running,
+        is_admitted,
+    });
+    for case in cases {
+        let budget = Rc::new(Budget::new(MEMORY_BYTES));
+        let _hold = Hold::new(&budget, case.held_kb << 10);
+        let is_admitted = budget.admits_route(case.running);
+        assert_eq!(is_admitted, case.is_admitted, "{} kB", case.held_kb);
+    }
+}
+
 #[test]
 fn released_bytes_stay_held() {
     let budget = Rc::new(Budget::new(MEMORY_BYTES));
--- a/src/drain/longest.rs
+++ b/src/drain/longest.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Returns the number of running requests
+    pub fn running(&self, route: &RouteId) -> usize {
+        self.running.get(route).map_or(0, BTreeSet::len)
+    }
+
     /// Records the duration of a request
     pub fn record(&mut self, now: Instant, route: &RouteId, duration: Duration) {
         if !self.recent.contains_key(route) {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -111,6 +111,10 @@
             false => Refusal::new(404, "no route"),
         });
     };
+    let running = gateway.longest.borrow().running(&route.name);
+    if !gateway.memory.admits_route(running) {
+        return Err(Refusal::not_run("memory is short", MEMORY_PAUSE));
+    }
     let service = route.next_service().cloned();
     let service = service.ok_or_else(|| Refusal::new(404, "route without a service"))?;
     let quarantine_keys = quarantine::keys(request, upload.prefix());
--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -54,7 +54,7 @@
     min_served: u32,
 }
 
-/// The memory of the host is enough for the first two, but not for the last
+/// The memory of the host is enough for all callers of the second case only
 const CASES: [Case; 3] = [
     Case {
         slow_callers: 4000,
@@ -69,7 +69,7 @@
     Case {
         slow_callers: 6000,
         other_path: "/once/other",
-        min_served: 0,
+        min_served: OTHER_CALLERS * 95 / 100,
     },
 ];
 
