--- a/src/gateway/limit/tests/cost.rs
+++ b/src/gateway/limit/tests/cost.rs
@@ -86,6 +86,7 @@
         store_reader: None,
         held: 0,
         limits,
+        sequence: 1,
     }
 }
 
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -1,8 +1,7 @@
 //! Runs a deployment on loopback for tests: real `pier-gate` processes, stand-ins for the store and
 //! the endpoints, and a proxy in front of each of them.
 //!
-//! Each deployment uses its own addresses in 127.0.0.0/8, so that concurrent runs do not interfere.
-//! A deployment ends only the processes that it started, by process id.
+//! Each has its own addresses in 127.0.0.0/8, and ends only the processes that it started.
 
 #![allow(dead_code)]
 
--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -54,7 +54,7 @@
     min_served: u32,
 }
 
-/// The memory of the host is enough for the first two, but not for all slow callers of the last
+/// The memory of the host is enough for all callers of the second case only
 const CASES: [Case; 3] = [
     Case {
         slow_callers: 4000,
