Test of rejected requests at pier-entry: not within the idle time

Seen: an empty answer instead of a rejection (no Host), once in two runs of all unit tests at a load average of 36.

Cause: the test's idle time of 150 ms also ran between connect and the first byte, and a connection that is idle is closed without an answer. With 200 ms between connect and write the test failed the same way; with an idle time of 5 s it passes with that delay, too. The check of each request is unchanged; idle connections have a test of their own.

--- a/src/caller/tests.rs
+++ b/src/caller/tests.rs
@@ -165,7 +165,12 @@
     smol::block_on(async {
         let upstream = Upstream::new(Behavior::Echo).await;
         let host = fake::host(fake::revision(&[&upstream], 3));
-        let port = fake::serve_callers(&host, SHORT_TIMEOUTS).await;
+        let limits = Limits {
+            // A connection that is idle is closed without an answer.
+            idle_timeout: Duration::from_secs(5),
+            ..SHORT_TIMEOUTS
+        };
+        let port = fake::serve_callers(&host, limits).await;
         for case in rejected_requests() {
             let response = fake::send_and_read_all(port, case.text.as_bytes()).await;
             let name = case.name;
