pier-entry: no "not run" before the ticket is looked up

Seen from the code: a host with full buffers, without a configuration or without the service refuses a request before it looks at its ticket, and said "not run"; so did the gate for malformed requests. An earlier request with the same ticket may have run.

Change: with a ticket the first three answer 504, `unknown`, with the same cause; without one they say `not-run` as before, about this sending. Answers to malformed requests (400, 413, ...) state no outcome, since their ticket is not known; docs/INTERFACE.md promised none. A once-only request for an unknown service got 404 and gets 504, since another host may know the service.

Test: `request_that_ran_is_told_not_run_before_its_ticket_is_looked_up`, over sockets: a request runs at its issuer and comes again at a host that refuses it for one of five reasons. Before: "not-run" for all five; after: `unknown` for three, no outcome for two malformed ones. Other malformed requests go through the same function and were not played with a ticket.

--- a/src/caller/answer.rs
+++ b/src/caller/answer.rs
@@ -67,7 +67,7 @@
     refusal(status, "not-run", refused, id)
 }
 
-/// Returns the response to a request for a service that is not configured
+/// Returns the response to a request without a ticket for a service that is not configured
 pub fn unknown_service(name: &str, id: RequestId) -> Response {
     let text = format!("no service {name}; ask the operators for its name\n");
     let mut response = with_outcome(plain_text(404, &text), "not-run", id);
@@ -75,7 +75,8 @@
     response
 }
 
-fn unknown(refused: &Refusal, id: RequestId) -> Response {
+/// Returns the response to a request that may have run
+pub fn unknown(refused: &Refusal, id: RequestId) -> Response {
     refusal(504, "unknown", refused, id)
 }
 
--- a/src/caller/body.rs
+++ b/src/caller/body.rs
@@ -10,8 +10,7 @@
 use crate::caller::gate::Connection;
 use crate::caller::head::{Head, Length};
 use crate::caller::{Limits, answer, handle};
-use crate::entry::{BufferReservation, Host, refusal};
-use crate::id::RequestId;
+use crate::entry::{BufferReservation, Host};
 use crate::message;
 use crate::wire::Cause;
 
@@ -28,7 +27,7 @@
 #[derive(Debug)]
 pub enum ReadError {
     /// The host's limit of buffered bytes is reached
-    BufferFull(RequestId),
+    BufferFull,
     /// The body is longer than the limit
     TooLong,
     /// The body was not complete within the timeout
@@ -39,9 +38,9 @@
 
 impl ReadError {
     /// Returns a response that closes the connection, or the error if the body is invalid
-    pub fn into_response(self) -> http_types::Result<Response> {
+    pub fn into_response(self, request: &Request) -> http_types::Result<Response> {
         let response = match self {
-            Self::BufferFull(id) => answer::not_run(&refusal(Cause::NoHeadroom), id),
+            Self::BufferFull => handle::refuse(request, Cause::NoHeadroom),
             Self::TooLong => answer::plain_text(413, "body is too long\n"),
             Self::TimedOut => answer::plain_text(408, "body took too long\n"),
             Self::Invalid(error) => return Err(error),
@@ -63,8 +62,7 @@
         Length::Chunked => limits.max_body_bytes,
     };
     let reservation = host.reserve_buffer(max_bytes);
-    let reservation =
-        reservation.ok_or_else(|| ReadError::BufferFull(handle::request_id(request)))?;
+    let reservation = reservation.ok_or(ReadError::BufferFull)?;
     let mut bytes = Vec::new();
     if max_bytes > 0 {
         let read = async {
--- a/src/caller/connection.rs
+++ b/src/caller/connection.rs
@@ -78,7 +78,7 @@
                 }
                 Err(error) => {
                     is_body_rejected.store(true, Ordering::Relaxed);
-                    error.into_response()?
+                    error.into_response(&request)?
                 }
             };
             connection.end_request();
--- a/src/caller/gate.rs
+++ b/src/caller/gate.rs
@@ -154,13 +154,15 @@
     }
 
     /// Rejects a request that the library does not receive, and closes the connection
+    ///
+    /// States no outcome: its ticket, if it has one, is not known.
     pub async fn reject(&mut self, (status, reason): Rejection) {
         let phrase = http_types::StatusCode::try_from(status);
         let phrase = phrase.map_or("Error", |status| status.canonical_reason());
         let length = reason.len() + 1;
         let text = format!(
             "HTTP/1.1 {status} {phrase}\r\nconnection: close\r\ncontent-type: text/plain\r\n\
-             content-length: {length}\r\npier-outcome: not-run\r\n\r\n{reason}\n"
+             content-length: {length}\r\n\r\n{reason}\n"
         );
         if self.write_all(text.as_bytes()).await.is_ok() {
             self.close_lingering().await;
--- a/src/caller/handle.rs
+++ b/src/caller/handle.rs
@@ -41,10 +41,13 @@
     let (name, target) = split_path(path);
     let revision = host.revision();
     if revision.number == 0 {
-        return answer::not_run(&refusal(Cause::NoService), id);
+        return refuse(request, Cause::NoService);
     }
     let Some(service) = revision.document.services.get(&name) else {
-        return answer::unknown_service(&name, id);
+        return match ticket(request) {
+            Some(_) => refuse(request, Cause::NoService),
+            None => answer::unknown_service(&name, id),
+        };
     };
     let Ok(timeout) = request_timeout(request, service) else {
         return answer::plain_text(400, "Pier-Deadline is not a number of milliseconds\n");
@@ -108,6 +111,22 @@
     (name.into(), target)
 }
 
+/// Returns the response to a request that is refused before its ticket is looked up
+pub fn refuse(request: &Request, cause: Cause) -> Response {
+    let id = request_id(request);
+    match ticket(request) {
+        // An earlier request with the same ticket may have run.
+        Some(_) => answer::unknown(&refusal(cause), id),
+        None => answer::not_run(&refusal(cause), id),
+    }
+}
+
+/// Returns the ticket in the headers
+fn ticket(request: &Request) -> Option<Ticket> {
+    let header = request.header("pier-ticket").map(|values| values.last());
+    header.and_then(|value| value.as_str().parse().ok())
+}
+
 /// Returns the ticket of a once-only request, or a refusal with a new ticket if it has none
 fn parse_ticket(
     host: &Host,
@@ -115,9 +134,7 @@
     service: &ServiceId,
     id: RequestId,
 ) -> Result<Ticket, Box<Response>> {
-    let header = request.header("pier-ticket").map(|values| values.last());
-    let parsed = header.and_then(|value| value.as_str().parse().ok());
-    parsed.ok_or_else(|| {
+    ticket(request).ok_or_else(|| {
         let mut response = answer::not_run(&refusal(Cause::BadTicket), id);
         if !host.is_stopping() {
             let ticket = host.issue_ticket(service);
--- a/src/caller/tests.rs
+++ b/src/caller/tests.rs
@@ -15,6 +15,7 @@
 use crate::entry::reply::Body;
 use crate::operator::Metrics;
 mod chunks;
+mod tickets;
 
 /// Limits with short timeouts, so that tests of timeouts are short
 const SHORT_TIMEOUTS: Limits = Limits {
