Plan returns of refused callers with 0.8 of a limit

Cause: places of several hosts that together make up the whole limit leave no room for two that fall together; the caller that comes second is refused again.

Change: hosts that share a limit plan with 0.8 of it, and draw the first place from a whole interval. A host alone goes on with all of it, as it knows all places.

--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -36,6 +36,10 @@
 /// and a hand-over
 const MAX_WAIT: Duration = Duration::from_millis(11_500);
 
+/// Part of a limit that refused callers of several hosts are told to return to; the hosts do not know each
+/// other's, so some return together
+const RETURN_RATIO: f64 = 0.8;
+
 /// How long it is told that an endpoint has no limit any more
 const WITHDRAWAL_TTL: Duration = Duration::from_secs(5);
 
@@ -215,13 +219,13 @@
         phase: f64,
     ) -> Option<Duration> {
         let wait = self.return_wait(now, run)?;
-        let parts = parts.max(1.0);
+        let is_alone = parts <= 1.0;
+        let parts = if is_alone { 1.0 } else { parts / RETURN_RATIO };
         let interval = Duration::from_secs_f64(parts / self.rate(run)?);
         let limit = self.limits.get_mut(&run)?;
         let is_first = limit.next_return.is_none_or(|at| at < now + wait);
-        let others = interval.mul_f64(1.0 - 1.0 / parts);
-        let wait = match is_first {
-            true => wait + others.mul_f64(phase),
+        let wait = match is_first && !is_alone {
+            true => wait + interval.mul_f64(phase),
             false => wait,
         };
         limit.next_return = Some(now + wait + interval);
