Chunks: a size line without digits is malformed

The library takes it for a size of 0, so that "2\r\nab\r\n\r\n\r\n" was a complete body: a malformed once-only request ran, and such an answer of an endpoint passed for whole. Found by review; two cases in `caller::tests::chunks`.

--- a/src/caller/tests/chunks.rs
+++ b/src/caller/tests/chunks.rs
@@ -82,6 +82,8 @@
         ),
         case("no line break after data", "2\r\nabc\r\n0\r\n\r\n", None),
         case("no size", "x\r\n\r\n", None),
+        case("empty size", "2\r\nab\r\n\r\n\r\n", None),
+        case("extension without a size", "2\r\nab\r\n;a\r\n\r\n", None),
     ];
     for Case {
         name,
--- a/src/message/chunk.rs
+++ b/src/message/chunk.rs
@@ -77,6 +77,10 @@
     /// Decodes the next element and returns the number of its bytes; adds data to `data`
     fn decode_next(&mut self, unread: &[u8], data: &mut Vec<u8>) -> Result<(Step, usize), Error> {
         let (count, state) = match self.state {
+            // The library takes a line without digits for a size of 0.
+            State::Size if unread.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) => {
+                return Err(Error::Malformed("invalid chunk size"));
+            }
             State::Size => match httparse::parse_chunk_size(unread) {
                 Ok(httparse::Status::Complete((count, 0))) => (count, State::Trailer(0)),
                 Ok(httparse::Status::Complete((count, size))) => (count, State::Data(size)),
