Limits: a host that was idle is no part of the whole fleet

A refused caller's time is spread by how much of the demand this host has. One that had counted none yet took itself for one of all hosts alike: at 104 hosts and 5 a second its first caller was told up to 20 s. From the code (review); the request that it refuses counts now.

--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -290,10 +290,8 @@
             _ => demand.values().sum(),
         };
         let hosts = fleet.size().max(1) as f64;
-        match own > 0.0 {
-            true => (all / own).clamp(1.0, hosts),
-            false => hosts,
-        }
+        // A host that was idle has one request at least, the one that it refuses.
+        (all / own.max(1.0)).clamp(1.0, hosts)
     }
 
     fn encode_ask(
