--- a/src/gateway/forward/refusal.rs
+++ b/src/gateway/forward/refusal.rs
@@ -44,13 +44,14 @@
     }
 
     /// Returns the endpoint that takes requests again first, after which time, and whether that is a
-    /// matter of its limit; `None` if any takes some now
+    /// matter of its limit; `None` if any takes some now, or may do so before one whose pause is known
     fn first_return(&self, now: Instant) -> Option<(Endpoint, Duration, bool)> {
         let catalog = self.gateway.catalog.borrow();
         let pool = self.gateway.pool.borrow();
         let limits = &self.gateway.limits;
         let allowed = &self.route.allowed_regions;
         let mut first: Option<(&Endpoint, Duration, bool)> = None;
+        let mut is_any_undecided = false;
         for endpoint in catalog.usable(now, &self.service) {
             if !allowed.is_empty() && !allowed.contains(&endpoint.region) {
                 continue;
@@ -61,12 +62,14 @@
                 if self.fits_limit(now, endpoint) {
                     return None;
                 }
+                is_any_undecided = true;
                 continue;
             };
             if first.is_none_or(|(_, shortest, _)| wait < shortest) {
                 first = Some((endpoint, wait, place >= pause));
             }
         }
+        let first = first.filter(|(_, _, is_limited)| *is_limited || !is_any_undecided);
         first.map(|(endpoint, wait, is_limited)| (endpoint.clone(), wait, is_limited))
     }
 
