--- a/src/entry/tests/stop.rs
+++ b/src/entry/tests/stop.rs
@@ -45,6 +45,7 @@
             "{lookup_response}"
         );
         let mut count = 0;
+        let serving_period = drain::PROPAGATION_DELAY + revision.document.lookup_lifetime;
         'stop: while !stop_task.is_finished() {
             let post = once_only_request(&members[1]);
             for (text, end) in [(&text, "/x"), (&post, "/pay")] {
@@ -54,6 +55,7 @@
                     // Only a request that crosses with the end of the stop is refused.
                     let cause = fake::header(&response, "pier-cause");
                     assert_eq!(cause, Some("stopping"), "after {count} rounds: {response}");
+                    assert!(start.elapsed() >= serving_period, "{:?}", start.elapsed());
                     assert_eq!(upstream.request_count(), runs, "{response}");
                     fake::wait_until("the stop ends", || stop_task.is_finished()).await;
                     break 'stop;
@@ -61,7 +63,6 @@
             }
             count += 1;
         }
-        let serving_period = drain::PROPAGATION_DELAY + revision.document.lookup_lifetime;
         assert!(count > 0 && start.elapsed() >= serving_period);
         assert_eq!(stop_task.await, 0, "requests in flight at the end");
         let lookup_response = send_request(
