History of a reader: what was forgotten stays forgotten

With more than 16 lists the oldest gap is forgotten and the history begins at its end, but an overflow of the history then set its begin to the revision of an older event. A follower from within that gap was told changes in place of "gone" and kept what had been removed meanwhile.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -147,7 +147,8 @@
         while history.len() > MAX_HISTORY_EVENTS
             && let Some((dropped_revision, _)) = history.pop_front()
         {
-            self.history_start.insert(kind, dropped_revision);
+            let start = self.history_start.entry(kind).or_default();
+            *start = dropped_revision.max(*start);
         }
     }
 
--- a/src/gateway/tests/history.rs
+++ b/src/gateway/tests/history.rs
@@ -105,6 +105,24 @@
     }
 }
 
+#[test]
+fn gap_is_forgotten_when_the_history_overflows() {
+    let mut reader = listed(vec![object("a", 3)], 10);
+    reader.apply_changes(KIND, &[Event::Put(object("a", 12))], 12);
+    // A follower of another host is told of an object that is gone again when this one lists.
+    let told = at(15);
+    reader.replace(Instant::now(), KIND, vec![object("a", 12)], at(20));
+    for revision in 21..=3000 {
+        reader.apply_changes(KIND, &[Event::Put(object("b", revision))], revision);
+        if revision <= 40 {
+            let objects = vec![object("a", 12), object("b", revision)];
+            reader.replace(Instant::now(), KIND, objects, at(revision));
+        }
+        let update = reader.changes_after(Instant::now(), KIND, told);
+        assert_eq!(update, Update::Compacted, "at {revision}");
+    }
+}
+
 /// A follower changes between two readers whose watches break, and which list again then
 #[test]
 fn follower_of_a_reader_that_listed_again_misses_a_change() {
