Test harness: the address of an ended endpoint is taken before its successor starts

The successor started first on a port that the system chose, and the one that had become free was among these (of 11 takeovers a case, 7,000 ports). From the code: the two ports of that run were not printed.

--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -20,7 +20,7 @@
 pub mod status;
 
 use std::collections::BTreeMap;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::process::Stdio;
 use std::time::{Duration, Instant};
@@ -292,18 +292,19 @@
             response_bytes: 2000,
         };
         stop(server).await;
-        let successor = Endpoint::new(options(format!("i-successor-{number}")));
-        let own_address = SocketAddr::new(server.address.ip(), 0);
-        let (address, task) = successor
-            .start(own_address)
-            .await
-            .expect("the endpoint listens");
+        // Before its successor, which could get the port that is free now.
         let other = Endpoint::new(options(format!("l-other-{number}")));
         let (_, other_task) = other
             .start(server.address)
             .await
             .expect("the endpoint listens at the address of the crashed one");
         other_task.detach();
+        let successor = Endpoint::new(options(format!("i-successor-{number}")));
+        let own_address = SocketAddr::new(server.address.ip(), 0);
+        let (address, task) = successor
+            .start(own_address)
+            .await
+            .expect("the endpoint listens");
         let entry = other.store_spec(OTHER_SERVICE, server.region, server.address, "ready");
         self.store.write("servers", other.id(), entry);
         self.other_endpoints.push(other);
@@ -480,10 +481,7 @@
 }
 
 fn address(subnet: [u8; 2], last: u8, port: u16) -> SocketAddr {
-    SocketAddr::new(
-        IpAddr::V4(Ipv4Addr::new(127, subnet[0], subnet[1], last)),
-        port,
-    )
+    SocketAddr::from(([127, subnet[0], subnet[1], last], port))
 }
 
 /// Returns a part of the loopback range that no other deployment uses
