--- a/src/caller/tests.rs
+++ b/src/caller/tests.rs
@@ -165,22 +165,16 @@
     smol::block_on(async {
         let upstream = Upstream::new(Behavior::Echo).await;
         let host = fake::host(fake::revision(&[&upstream], 3));
-        let limits = Limits {
-            // A connection that is idle is closed without an answer.
-            idle_timeout: Duration::from_secs(5),
-            ..SHORT_TIMEOUTS
-        };
+        let mut limits = SHORT_TIMEOUTS;
+        // A connection that is idle is closed without an answer.
+        limits.idle_timeout = Duration::from_secs(5);
         let port = fake::serve_callers(&host, limits).await;
-        for case in rejected_requests() {
-            let response = fake::send_and_read_all(port, case.text.as_bytes()).await;
-            let name = case.name;
-            let status = format!("HTTP/1.1 {} ", case.status);
+        for RejectedRequest { name, text, status } in rejected_requests() {
+            let response = fake::send_and_read_all(port, text.as_bytes()).await;
+            let status = format!("HTTP/1.1 {status} ");
             assert!(response.starts_with(&status), "{name}: {response:?}");
-            assert_eq!(
-                fake::header(&response, "connection"),
-                Some("close"),
-                "{name}"
-            );
+            let connection = fake::header(&response, "connection");
+            assert_eq!(connection, Some("close"), "{name}");
         }
         assert_eq!(upstream.request_count(), 0);
     });
