--- a/review/play-2.sh
+++ b/review/play-2.sh
@@ -3,7 +3,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run or was broken off.
 set -uo pipefail
 name="${1:?name of the case}"
-folder="$(cd "${2:?folder}" && pwd)"
+folder="$(cd "${2:?folder}" && pwd)" || exit 2
 cd "$(dirname "$0")/.."
 for program in target/release/pier-gate target/review-2/stand-in; do
   [ -x "$program" ] || { echo "$program is not built"; exit 2; }
